Carry an ordered change through; learn of changes from other instances

Change: no order without a choice, survey of all replicas before the first pause, pauses only after the token is drawn; the upstream's reported state decides whether a connection is in a transaction; one instance per failure domain watches with short waits and pings carry marks of the tables.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -9,10 +9,15 @@
 //     most is named. It then holds every acknowledged commit. A replica that does not
 //     answer may be the only one that holds a commit, so its answer is waited for.
 //   - Each order carries a token that rises and is never used for two decisions. The
-//     platform refuses an order below the highest token that it has seen.
-//   - An order without an answer may be carried out later. It is repeated until it is
-//     answered, and replicas are resumed only after an order for the present primary,
-//     which changes nothing, has raised the platform's token above it.
+//     platform refuses an order below the highest token that it has seen. Replicas are
+//     paused only once the token is drawn: an order with an older token that is carried
+//     out before is then seen by the answers, and one that comes later is refused.
+//   - An order without an answer may be carried out later, so it is repeated until it is
+//     answered.
+//   - A replica that was paused is never told to go on, since another instance may have
+//     paused it for a choice of its own. Only a promotion lets it receive again, so a
+//     change that has paused a replica is carried through, even if the old primary is
+//     back. To make that rare, all replicas must be reached before one is paused.
 //
 // Ordered is used by one goroutine at a time. It has no clock: results and Tick carry
 // the time.
@@ -50,10 +55,10 @@
 	ActionDraw   Action = "draw"   // draw a token from the store
 	ActionHold   Action = "hold"   // stop new work at the old primary
 	ActionFree   Action = "free"   // let it go on
+	ActionSurvey Action = "survey" // ask a replica whether it leads
 	ActionPause  Action = "pause"  // stop a replica from receiving
 	ActionList   Action = "list"   // read the group's upstreams from the store
 	ActionOrder  Action = "order"  // order the promotion of an upstream
-	ActionResume Action = "resume" // let a replica receive again
 )
 
 // Command is an action on an upstream.
@@ -80,12 +85,11 @@
 // The phases.
 const (
 	PhaseIdle   Phase = "idle"
+	PhaseSurvey Phase = "survey" // wait until all replicas are reached, and a token is drawn
 	PhaseHold   Phase = "hold"   // wait until the old primary has no running work
 	PhasePause  Phase = "pause"  // wait until all replicas have paused
 	PhaseList   Phase = "list"   // look for replicas that were not known
 	PhaseOrder  Phase = "order"  // wait until the order is answered
-	PhaseFence  Phase = "fence"  // raise the token by an order that changes nothing
-	PhaseResume Phase = "resume" // let replicas receive again
 )
 
 // Times of an ordered promotion.
@@ -113,9 +117,9 @@
 type replica struct {
 	Candidate
 	standing Standing
-	at       time.Time // of the answer to the pause; zero without one
+	at       time.Time // when the pause was sent that was answered; zero without one
+	reached  time.Time // when the survey was sent that was answered; zero without one
 	next     time.Time // first time for another command
-	resumed  bool
 }
 
 // Ordered moves one group to another primary.
@@ -126,8 +130,8 @@
 	phase    Phase
 	since    time.Time // start of the phase
 	next     time.Time // first time for another command of the phase
+	draw     time.Time // first time for another draw
 	token    uint64    // drawn and unused, or in use
-	sent     bool      // an order with the token went out
 	planned  bool
 	held     string // the upstream whose new work is stopped
 	target   string
@@ -171,21 +175,11 @@
 
 // Start begins a change of the primary, unless one is under way or just over.
 func (c *Ordered) Start(now time.Time, planned bool, reason string) bool {
-	if c.phase != PhaseIdle || !planned && now.Sub(c.done) < settle || len(c.replicas) < 2 {
+	if c.phase != PhaseIdle || !planned && now.Sub(c.done) < settle || len(c.replicas) < 2 || planned && !c.movable() {
 		return false
 	}
-	if planned && !c.movable() {
-		return false
-	}
-	c.planned, c.reason, c.sent, c.target = planned, reason, false, ""
-	for _, r := range c.replicas {
-		r.at, r.next, r.resumed = time.Time{}, time.Time{}, false
-	}
-	c.enter(now, PhasePause)
-	if planned {
-		c.held = c.primary
-		c.enter(now, PhaseHold)
-	}
+	c.planned, c.reason, c.target = planned, reason, ""
+	c.enter(now, PhaseSurvey)
 	return true
 }
 
@@ -194,29 +188,35 @@
 	return slices.ContainsFunc(c.replicas, func(r *replica) bool { return !r.Unfit && r.Upstream != c.primary })
 }
 
-func (c *Ordered) enter(now time.Time, p Phase) { c.phase, c.since, c.next = p, now, now }
-
-// Recovered takes in that the primary works after all. A change is given up if no
-// order went out yet.
-func (c *Ordered) Recovered(now time.Time) {
-	if (c.phase == PhasePause || c.phase == PhaseList) && !c.planned && !c.sent {
-		c.giveUp(now)
+// enter begins a phase. What replicas said before does not count in it.
+func (c *Ordered) enter(now time.Time, p Phase) {
+	if p == PhaseSurvey || p == PhasePause {
+		for _, r := range c.replicas {
+			r.at, r.reached, r.next = time.Time{}, time.Time{}, time.Time{}
+		}
 	}
+	c.phase, c.since, c.next = p, now, now
 }
 
-// giveUp lets the replicas receive again, once no earlier order can be carried out.
-func (c *Ordered) giveUp(now time.Time) { c.enter(now, PhaseFence) }
+// Recovered takes in that an upstream was proven to lead. A change that has paused no
+// replica yet is given up.
+func (c *Ordered) Recovered(now time.Time, primary string) {
+	if c.phase == PhaseSurvey && !c.planned || c.phase == PhaseSurvey && primary != c.primary {
+		c.primary = primary
+		c.enter(now, PhaseIdle)
+	}
+}
 
 // Tick returns the commands that are due.
 func (c *Ordered) Tick(now time.Time) []Command {
 	var out []Command
-	if c.token == 0 && !now.Before(c.next) {
+	if c.token == 0 && !now.Before(c.draw) {
+		c.draw = now.Add(commandEvery)
 		out = append(out, Command{Action: ActionDraw})
-		if c.phase == PhaseIdle || c.phase == PhaseFence {
-			c.next = now.Add(commandEvery)
-		}
 	}
 	switch c.phase {
+	case PhaseSurvey:
+		out = append(out, c.survey(now)...)
 	case PhaseHold:
 		if now.Sub(c.since) >= holdFor {
 			c.enter(now, PhasePause)
@@ -233,15 +233,53 @@
 			c.choose(now)
 		}
 	case PhaseOrder:
-		out = append(out, c.order(now, c.target)...)
-	case PhaseFence:
-		out = append(out, c.order(now, c.primary)...)
-	case PhaseResume:
-		out = append(out, c.resume(now)...)
+		out = append(out, c.order(now)...)
+	}
+	return out
+}
+
+// survey asks all replicas whether they lead. A planned change is given up if one does
+// not answer in time, since the old primary still works.
+func (c *Ordered) survey(now time.Time) []Command {
+	var out []Command
+	all := len(c.others()) > 0
+	for _, r := range c.others() {
+		if !r.reached.IsZero() && now.Sub(r.reached) < pauseValid {
+			continue
+		}
+		all = false
+		if !now.Before(r.next) {
+			r.next = now.Add(commandEvery)
+			out = append(out, Command{Action: ActionSurvey, Upstream: r.Upstream})
+		}
+	}
+	switch {
+	case all && c.token > 0 && c.planned:
+		c.held = c.primary
+		c.enter(now, PhaseHold)
+	case all && c.token > 0:
+		c.enter(now, PhasePause)
+	case c.planned && now.Sub(c.since) >= pauseValid:
+		c.enter(now, PhaseIdle)
 	}
 	return out
 }
 
+// Surveyed takes in whether a replica that was asked at the given time answered, and
+// whether it leads.
+func (c *Ordered) Surveyed(now, sent time.Time, upstream string, leads bool, err error) {
+	r := c.find(upstream)
+	switch {
+	case r == nil || c.phase != PhaseSurvey:
+	case err != nil:
+		r.next = now.Add(retryEvery)
+	case leads:
+		c.Recovered(now, upstream)
+	default:
+		r.reached = sent
+	}
+}
+
 // others returns the replicas that must have paused: all but the old primary.
 func (c *Ordered) others() []*replica {
 	var list []*replica
@@ -254,6 +292,9 @@
 }
 
 func (c *Ordered) pause(now time.Time) []Command {
+	if c.token == 0 {
+		return nil // answers prove nothing for a token that is drawn later
+	}
 	var out []Command
 	all := true
 	for _, r := range c.others() {
@@ -266,45 +307,25 @@
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
 	}
-	if all && c.token > 0 && len(c.others()) > 0 {
+	if all && len(c.others()) > 0 {
 		c.enter(now, PhaseList)
 		out = append(out, Command{Action: ActionList})
 	}
 	return out
 }
 
-func (c *Ordered) order(now time.Time, upstream string) []Command {
-	if c.token == 0 || now.Before(c.next) {
+func (c *Ordered) order(now time.Time) []Command {
+	if now.Before(c.next) {
 		return nil
 	}
 	c.next = now.Add(commandEvery)
-	c.sent = true
-	return []Command{{Action: ActionOrder, Upstream: upstream, Token: c.token}}
-}
-
-func (c *Ordered) resume(now time.Time) []Command {
-	var out []Command
-	left := false
-	for _, r := range c.others() {
-		if r.at.IsZero() || r.resumed {
-			continue
-		}
-		left = true
-		if !now.Before(r.next) {
-			r.next = now.Add(commandEvery)
-			out = append(out, Command{Action: ActionResume, Upstream: r.Upstream})
-		}
-	}
-	if !left {
-		out = append(out, c.finish(now)...)
-	}
-	return out
+	return []Command{{Action: ActionOrder, Upstream: c.target, Token: c.token}}
 }
 
 // finish ends the change.
 func (c *Ordered) finish(now time.Time) []Command {
 	c.enter(now, PhaseIdle)
-	c.token, c.sent = 0, false
+	c.token, c.draw = 0, now
 	if c.held == "" {
 		return nil
 	}
@@ -340,9 +361,9 @@
 	}
 	c.term = max(c.term, s.Term)
 	if s.Primary {
-		// It leads already, so the one that was lost has been replaced.
+		// Another instance has promoted it. Replicas may be paused already, which only a
+		// promotion ends; every commit that it acknowledges is at one of them.
 		c.primary = upstream
-		c.giveUp(now)
 		return
 	}
 	r.standing, r.at = s, sent
@@ -377,10 +398,6 @@
 			best = r
 		}
 	}
-	if best.Unfit && c.planned {
-		c.giveUp(now)
-		return
-	}
 	c.target = best.Upstream
 	c.enter(now, PhaseOrder)
 }
@@ -403,9 +420,9 @@
 )
 
 // Answered takes in the platform's answer to an order. It returns the upstream that now
-// leads, if the order changed the primary.
+// leads, if the order was carried out.
 func (c *Ordered) Answered(now time.Time, cmd Command, v Response) (leader string, out []Command) {
-	if cmd.Token != c.token || c.phase != PhaseOrder && c.phase != PhaseFence {
+	if cmd.Token != c.token || c.phase != PhaseOrder {
 		return "", nil
 	}
 	switch v {
@@ -413,36 +430,16 @@
 		c.next = now.Add(retryEvery)
 	case ResponseRefused:
 		// A refused token is never used again. The replicas are looked at anew, since the
-		// chosen one may have ended.
-		c.token = 0
-		for _, r := range c.replicas {
-			r.at, r.next = time.Time{}, time.Time{}
-		}
+		// chosen one may have ended, or another instance may have promoted one.
+		c.token, c.draw = 0, now
 		c.enter(now, PhasePause)
 	case ResponseDone:
-		if c.phase == PhaseFence {
-			c.enter(now, PhaseResume)
-			return "", nil
-		}
 		c.primary, c.done = c.target, now
 		return c.target, c.finish(now)
 	}
 	return "", nil
 }
 
-// Resumed takes in a replica's answer to a resume.
-func (c *Ordered) Resumed(now time.Time, upstream string, err error) {
-	r := c.find(upstream)
-	if r == nil {
-		return
-	}
-	if err != nil {
-		r.next = now.Add(retryEvery)
-		return
-	}
-	r.resumed = true
-}
-
 func (c *Ordered) find(upstream string) *replica {
 	for _, r := range c.replicas {
 		if r.Upstream == upstream {
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -47,6 +47,10 @@
 	return g.statement(c, id, r, deadline, proof)
 }
 
+// busyPause is the time between two tries of a statement of a transaction. It is about
+// the mean time of a statement, after which a slot is free.
+const busyPause = 10 * time.Millisecond
+
 // statement sends the caller's statement and takes in its answer.
 func (g *Gateway) statement(c *pooled, id uint64, r call.Request, deadline time.Time, p proof) call.Reply {
 	s := r.Statement
@@ -54,22 +58,32 @@
 	wrote := c.wrote
 	began := g.s.now()
 	a, err := c.Run(deadline, s, preparedName(s), r.After)
+	for err == nil && a.Code == call.Busy && a.State == call.Active && g.s.now().Add(busyPause).Before(deadline) {
+		// A transaction is worth more than a new request. Another gateway, or the
+		// connections of other teams that are being opened, took the slot.
+		time.Sleep(busyPause)
+		a, err = c.Run(deadline, s, preparedName(s), r.After)
+	}
 	if err != nil {
 		g.release(c, id, r, false)
 		return g.lost(r, err)
 	}
-	switch {
-	case s.Kind == call.Commit:
+	if s.IsWrite() {
+		c.wrote = c.wrote || c.open != call.OpenNone
+	}
+	// The upstream's word counts: a commit that did not run leaves the transaction open.
+	if a.State == call.Idle {
 		c.open, c.wrote = call.OpenNone, false
-	case s.IsWrite():
-		c.wrote = c.open != call.OpenNone
+	} else if c.open == call.OpenNone {
+		g.release(c, id, r, false)
+		return call.Reply{Answer: a, Ran: ran(a.Code)}
 	}
 	// A commit that wrote nothing also succeeds at an upstream that leads no more.
 	if a.Code == call.OK && (leads && (s.Kind != call.Commit || wrote) || s.IsWrite()) {
 		p.add(began, a.Position)
 	}
 	reply := call.Reply{Answer: a, Ran: ran(a.Code), Sample: p.sample()}
-	if c.open == call.OpenFence {
+	if leads && r.Open == call.OpenFence && c.open != call.OpenNone {
 		// The answer is final and does not wait for the end of the proxy's transaction.
 		go g.unfence(c, id, r)
 		return reply
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -31,6 +31,8 @@
 	tick = 20 * time.Millisecond
 	// idleGateway is the time after which an upstream without statements is given up.
 	idleGateway = 10 * time.Second
+	// idleElsewhere is the same for an upstream whose gateway is another instance.
+	idleElsewhere = 1500 * time.Millisecond
 	// connectionShare is the part of an upstream's connections that one gateway uses. The
 	// rest is for the gateway that takes over, or that other instances see instead.
 	connectionShare = 0.75
@@ -104,12 +106,17 @@
 	}
 }
 
-// Sweep closes gateways without work, such as those that are placed elsewhere now.
-func (s *Gateways) Sweep() {
+// Sweep closes gateways without work. Those that are placed elsewhere now are closed
+// sooner, since their connections are missing there.
+func (s *Gateways) Sweep(placed func(upstream string) bool) {
 	s.mu.Lock()
 	var list []*Gateway
 	for name, g := range s.all {
-		if g.idleFor() > idleGateway {
+		limit := idleElsewhere
+		if placed(name) {
+			limit = idleGateway
+		}
+		if g.idleFor() > limit {
 			delete(s.all, name)
 			list = append(list, g)
 		}
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -221,7 +221,7 @@
 			g.commit, g.stalls = now, 0
 		}
 		if g.acts {
-			g.change.Recovered(now)
+			g.change.Recovered(now, upstream)
 		}
 	}
 }
@@ -514,8 +514,14 @@
 	}
 	now := l.n.now()
 	l.members(g, s)
-	if g.change.Phase() == failover.PhaseIdle {
+	switch g.change.Phase() {
+	case failover.PhaseIdle:
 		l.look(ctx, g, s, now)
+	case failover.PhaseSurvey:
+		if u := s.upstreams[g.leader]; u != nil && !g.probing && now.Sub(g.proved) >= watchLeader {
+			g.probing = true
+			go l.probe(ctx, g, u)
+		}
 	}
 	for _, c := range g.change.Tick(now) {
 		go l.perform(ctx, g, c)
@@ -652,16 +658,21 @@
 		})
 	case failover.ActionOrder:
 		l.order(ctx, g, c)
-	case failover.ActionResume:
+	case failover.ActionSurvey:
 		if u == nil {
-			l.feed(func(now time.Time) { g.change.Resumed(now, c.Upstream, nil) })
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, pauseTimeout)
 		defer cancel()
-		_, err := l.n.platform.Controls.Resume(ctx, l.target(u))
-		l.n.log.Info("group: replica resumed", "group", g.name, "upstream", c.Upstream, "err", text(err))
-		l.feed(func(now time.Time) { g.change.Resumed(now, c.Upstream, err) })
+		leads, position, err := l.n.platform.Controls.Leads(ctx, l.target(u))
+		if refusedBy(err) {
+			err = nil // it is there
+		}
+		if leads {
+			l.proved(g.name, u.Name, sent, position, l.n.now(), false)
+		}
+		l.n.log.Info("group: replica asked", "group", g.name, "upstream", c.Upstream, "leads", leads, "err", text(err))
+		l.feed(func(now time.Time) { g.change.Surveyed(now, sent, c.Upstream, leads, err) })
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -35,7 +35,6 @@
 // Controls sends control statements to upstreams.
 type Controls interface {
 	Pause(ctx context.Context, t failover.Target, term uint64) (failover.Standing, error)
-	Resume(ctx context.Context, t failover.Target) (failover.Standing, error)
 	// Leads reports whether the upstream accepts a transaction that may write. An error
 	// means that it was not reached.
 	Leads(ctx context.Context, t failover.Target) (bool, wal.Position, error)
@@ -110,6 +109,7 @@
 	n.snapshot.Store(&snapshot{instances: []placement.Instance{n.self}, running: 1})
 	n.tables = newTables(p.Store, log, n.now)
 	n.tables.changed = n.rebuild
+	n.tables.patience = n.patience
 	n.gateways = gateway.New(p.Dialer, log, n.now)
 	n.limits = newLimits(n)
 	n.leaders = newLeaders(n)
@@ -211,6 +211,7 @@
 	n.limits.configure(s)
 	n.leaders.configure(s)
 	n.wake()
+	n.spread(k)
 }
 
 // wake lets statements that wait for a change look again.
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -45,11 +45,17 @@
 // SuspectNote tells the instance that acts for a group what another one has seen.
 type SuspectNote struct{ Group, Upstream, Reason string }
 
-// Ping asks whether an instance is there.
-type Ping struct{ From string }
+// Ping asks whether an instance is there, and tells which tables the asking one has.
+type Ping struct {
+	From  string
+	Marks map[Kind]Mark
+}
 
 // Pong answers a Ping.
-type Pong struct{ Leaving bool }
+type Pong struct {
+	Leaving bool
+	Marks   map[Kind]Mark
+}
 
 // TablesAsk asks for copies of tables that are newer than these revisions.
 type TablesAsk struct{ Have map[Kind]uint64 }
@@ -120,8 +126,11 @@
 }
 
 // Ping answers.
-func (s *service) Ping(_ Ping, reply *Pong) error {
-	reply.Leaving = s.n.draining.Load()
+func (s *service) Ping(p Ping, reply *Pong) error {
+	reply.Leaving, reply.Marks = s.n.draining.Load(), s.n.tables.marks()
+	if s.n.tables.behind(p.Marks) {
+		go s.n.askTables(context.Background(), p.From)
+	}
 	return nil
 }
 
@@ -205,9 +214,9 @@
 			go n.ping(ctx, address)
 		}
 		if n.tables.silent() > 0 || !n.tables.complete() {
-			go n.askTables(ctx)
+			go n.askAnyone(ctx)
 		}
-		n.gateways.Sweep()
+		n.gateways.Sweep(n.serves)
 	}
 }
 
@@ -241,18 +250,61 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var pong Pong
-	if err := n.peers.Call(ctx, address, "Node.Ping", Ping{From: n.self.Address}, &pong); err != nil {
+	if err := n.peers.Call(ctx, address, "Node.Ping", Ping{From: n.self.Address, Marks: n.tables.marks()}, &pong); err != nil {
 		n.unanswered(address, err)
 		return
 	}
 	n.answered(address)
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.peer(address).leaving = pong.Leaving
+	n.mu.Unlock()
+	if n.tables.behind(pong.Marks) {
+		n.askTables(ctx, address)
+	}
+}
+
+// watches reports whether this instance watches the store closely for its failure domain.
+func (n *Node) watches() bool {
+	var list []placement.Instance
+	for _, i := range n.snapshot.Load().instances {
+		if i.Domain == n.self.Domain {
+			list = append(list, i)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, i := range placement.Rank("watch", placement.Place{}, list) {
+		if i.Address == n.self.Address || !n.suspected(i.Address, n.now()) {
+			return i.Address == n.self.Address
+		}
+	}
+	return true
+}
+
+// patience returns how long a watch may wait. The store may drop a watch without a word,
+// so the instance that watches for its failure domain asks again within half of the time
+// in which a change must be in force. Waits differ, so that not all watches of the fleet
+// end at the same time.
+func (n *Node) patience(k Kind) time.Duration {
+	bound := map[Kind]time.Duration{KindPolicy: n.settings.Apply, KindOut: n.settings.Evacuate, KindUpstream: n.settings.Leave}[k]
+	if bound == 0 || !n.watches() {
+		return watchWait
+	}
+	return bound/4 + rand.N(bound/4)
 }
 
-// askTables gets newer tables from another instance.
-func (n *Node) askTables(ctx context.Context) {
+// spread tells others at once about a change that this instance saw for its domain.
+func (n *Node) spread(k Kind) {
+	if k == KindInstance || !n.watches() || len(n.snapshot.Load().instances) > pingAll {
+		return
+	}
+	for _, address := range n.pingTargets() {
+		go n.ping(context.Background(), address)
+	}
+}
+
+// askAnyone gets newer tables from an instance that answers.
+func (n *Node) askAnyone(ctx context.Context) {
 	addresses := n.others()
 	if len(addresses) == 0 {
 		addresses = n.settings.Seeds
@@ -261,9 +313,31 @@
 		return
 	}
 	address := addresses[rand.IntN(len(addresses))]
-	if address == n.self.Address {
-		return
+	if address != n.self.Address {
+		n.askTables(ctx, address)
+	}
+}
+
+// serves reports whether this instance is the first choice as the gateway of an upstream.
+func (n *Node) serves(name string) bool {
+	s := n.snapshot.Load()
+	u := s.upstreams[name]
+	if u == nil {
+		return false
 	}
+	list := s.ranked(u)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, i := range list {
+		if i.Address == n.self.Address || !n.suspected(i.Address, n.now()) {
+			return i.Address == n.self.Address
+		}
+	}
+	return false
+}
+
+// askTables gets newer tables from an instance.
+func (n *Node) askTables(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply TablesReply
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -10,9 +10,11 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -75,8 +77,8 @@
 var watched = []Kind{KindPolicy, KindOut, KindUpstream, KindInstance}
 
 const (
-	// watchWait bounds one watch. A connection that went silent is noticed earlier by
-	// its keep-alive probes.
+	// watchWait bounds one watch of an instance that does not watch for its failure
+	// domain. Such an instance learns from others if its watch stays silent.
 	watchWait = 15 * time.Second
 	// callTimeout bounds other calls; the store answers in milliseconds.
 	callTimeout = 1200 * time.Millisecond
@@ -93,8 +95,22 @@
 	// Revision is the store's revision of which this is a copy.
 	Revision uint64
 	Objects  map[string]Object
+	// Digest is a hash of the names and revisions of the objects.
+	Digest uint64
 }
 
+// digest hashes the names and revisions of objects, in any order.
+func digest(objects map[string]Object) uint64 {
+	var sum uint64
+	for name, o := range objects {
+		sum += xxhash.Sum64String(name + "\x00" + strconv.FormatUint(o.Revision, 16))
+	}
+	return sum
+}
+
+// Mark tells which copy of a table an instance has.
+type Mark struct{ Revision, Digest uint64 }
+
 // tables are an instance's copies.
 type tables struct {
 	store Store
@@ -102,6 +118,8 @@
 	now   func() time.Time
 	// changed is called after each change, without the lock.
 	changed func(Kind)
+	// patience returns how long a watch of a kind may wait.
+	patience func(Kind) time.Duration
 
 	mu       sync.Mutex
 	all      map[Kind]Table
@@ -162,7 +180,8 @@
 	return true
 }
 
-// install takes in a copy that the store or another instance gave.
+// install takes in a copy that the store or another instance gave, and reports whether
+// it differs from the one before.
 func (t *tables) install(next Table) bool {
 	t.mu.Lock()
 	before := t.all[next.Kind]
@@ -173,12 +192,14 @@
 	if next.Kind == KindUpstream {
 		t.vanish(before, next)
 	}
+	next.Digest = digest(next.Objects)
 	t.all[next.Kind] = next
 	t.mu.Unlock()
-	if !maps.EqualFunc(before.Objects, next.Objects, func(a, b Object) bool { return a.Revision == b.Revision }) || before.Revision == 0 {
+	if before.Digest != next.Digest || before.Revision == 0 {
 		t.changed(next.Kind)
+		return true
 	}
-	return true
+	return false
 }
 
 // vanish notes which upstreams have disappeared. The lock is held.
@@ -208,6 +229,27 @@
 	return out
 }
 
+// marks returns the marks of all copies.
+func (t *tables) marks() map[Kind]Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[Kind]Mark, len(watched))
+	for k, table := range t.all {
+		out[k] = Mark{table.Revision, table.Digest}
+	}
+	return out
+}
+
+// behind reports whether another instance has a newer copy with other content.
+func (t *tables) behind(theirs map[Kind]Mark) bool {
+	for k, own := range t.marks() {
+		if their := theirs[k]; k != KindInstance && their.Revision > own.Revision && their.Digest != own.Digest {
+			return true
+		}
+	}
+	return false
+}
+
 // revisions returns the revisions of all copies.
 func (t *tables) revisions() map[Kind]uint64 {
 	t.mu.Lock()
@@ -280,9 +322,10 @@
 		return nil
 	}
 	before := t.get(k)
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	patience := t.patience(k)
+	ctx, cancel := context.WithTimeout(ctx, patience+callTimeout/2)
 	defer cancel()
-	events, revision, err := t.store.Watch(ctx, k, before.Revision, watchWait)
+	events, revision, err := t.store.Watch(ctx, k, before.Revision, patience)
 	if errors.Is(err, ErrHistory) {
 		t.log.Info("store: history dropped, reading anew", "kind", k, "since", before.Revision)
 		*listed = false
