Run a transaction where its first statement may have run

Ruled out: a pooled connection with an open transaction. Change: a first statement that may have run is final, and its gateway ends the transaction. Single reads are still tried elsewhere.

--- a/io/node/route.go
+++ b/io/node/route.go
@@ -105,7 +105,10 @@
 		attempt++
 		tried[c.up.Name]++
 		last = n.send(ctx, op, s, c, deadline)
-		if final(s, last) || !n.now().Before(deadline) {
+		if last.Ran == call.RanMaybe && op.Kind != "" {
+			n.end(c.gateway.Address, EndNote{Upstream: c.up.Name, Session: op.Name})
+		}
+		if final(op, s, last) || !n.now().Before(deadline) {
 			return last
 		}
 	}
@@ -136,7 +139,12 @@
 }
 
 // final reports whether the reply goes to the caller as it is.
-func final(s call.Statement, r call.Reply) bool {
+func final(op *caller.Operation, s call.Statement, r call.Reply) bool {
+	if r.Ran != call.RanNo && op.Kind != "" {
+		// The transaction may be open where the statement was sent, and all of it must run
+		// on one connection.
+		return true
+	}
 	switch r.Code {
 	case call.Unreachable, call.ReadOnly, call.Lagging, call.Misrouted, call.TooMany:
 		return r.Ran != call.RanNo
@@ -379,15 +387,19 @@
 	if op.Upstream == "" {
 		return
 	}
-	note := EndNote{Upstream: op.Upstream, Session: op.Name}
-	if op.Gateway == n.self.Address {
+	n.end(op.Gateway, EndNote{Upstream: op.Upstream, Session: op.Name})
+}
+
+// end tells a gateway to end a transaction. It does not wait.
+func (n *Node) end(gateway string, note EndNote) {
+	if gateway == n.self.Address {
 		go n.gateways.End(note.Upstream, note.Session)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		if err := n.peers.Call(ctx, op.Gateway, "Node.End", note, &None{}); err != nil {
+		if err := n.peers.Call(ctx, gateway, "Node.End", note, &None{}); err != nil {
 			// The gateway ends the transaction when it has been idle for too long.
 			n.log.V(1).Info("route: end of a transaction not delivered", "op", note.Session, "err", err.Error())
 		}
