Roll a transaction back only after its running statement; smaller pings

Change: a connection is marked busy; the holder's instance, or any candidate that sees the holder's instance in another run, takes the lease at once; pings carry sums.

--- a/core/lease/sole.go
+++ b/core/lease/sole.go
@@ -10,9 +10,10 @@
 // Times of a Sole lease.
 const (
 	// SoleLength is above the longest store outage that the holder should survive.
-	SoleLength = 12 * time.Second
-	// soleRenew leaves time for two more attempts.
-	soleRenew = 4 * time.Second
+	SoleLength = 10 * time.Second
+	// soleRenew leaves three quarters of the length for an outage that begins just before
+	// a renewal.
+	soleRenew = 2500 * time.Millisecond
 	// soleRetry is the time between two attempts.
 	soleRetry = time.Second
 )
@@ -56,9 +57,10 @@
 func (s *Sole) Record() SoleRecord { return s.record }
 
 // Due returns the record to write and the revision that it replaces, if this instance
-// should renew the lease or, as a candidate, take it. The caller must have read the
-// object, and passes the store's answer to Wrote or Observe.
-func (s *Sole) Due(now time.Time, candidate bool) (r SoleRecord, revision uint64, due bool) {
+// should renew the lease or, as a candidate, take it. Ended is a holder whose run is known
+// to have ended, since its instance has started again; such a lease is not waited for. The
+// caller must have read the object, and passes the store's answer to Wrote or Observe.
+func (s *Sole) Due(now time.Time, candidate bool, ended string) (r SoleRecord, revision uint64, due bool) {
 	if s.seen.IsZero() || !s.tried.IsZero() && now.Sub(s.tried) < soleRetry {
 		return r, 0, false
 	}
@@ -70,7 +72,7 @@
 		}
 	case !candidate:
 		return r, 0, false
-	case s.revision > 0 && r.Holder != "" && r.Machine != s.machine && now.Sub(s.seen) < Longer(SoleLength):
+	case s.revision > 0 && r.Holder != "" && r.Holder != ended && r.Machine != s.machine && now.Sub(s.seen) < Longer(SoleLength):
 		// The previous run of the same instance has ended; others may still act.
 		return r, 0, false
 	default:
--- a/core/lease/sole_test.go
+++ b/core/lease/sole_test.go
@@ -28,7 +28,11 @@
 			case "observe":
 				s.Observe(now, object, revision)
 			case "write":
-				r, before, due := s.Due(now, true)
+				ended := ""
+				if h := object.Holder; h != "" && h != parts[object.Machine].holder {
+					ended = h // its instance has been restarted
+				}
+				r, before, due := s.Due(now, true, ended)
 				if !due || before != revision {
 					break
 				}
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -68,6 +68,10 @@
 	open call.Open
 	// wrote says that a statement of the transaction may have changed data.
 	wrote bool
+
+	// busy says that a statement runs, and ended that its transaction is to be rolled
+	// back afterwards. The gateway's lock guards both.
+	busy, ended bool
 }
 
 // preparedName returns the name of a shape on all connections. Callers' names collide,
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -10,10 +10,8 @@
 
 // execute runs a request on a connection whose turn it is.
 func (g *Gateway) execute(c *pooled, id uint64, r call.Request, deadline time.Time) call.Reply {
-	if c == nil || !c.Usable() {
-		if c != nil {
-			g.release(c, id, r, false)
-		}
+	if !c.Usable() {
+		g.release(c, id, r, false)
 		if r.Inside {
 			return call.Refusal(call.Aborted, "the upstream closed the connection of the transaction")
 		}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -268,7 +268,9 @@
 	for _, d := range list {
 		switch d.Kind {
 		case queue.Start:
-			g.answer(d.Request, start{conn: g.conns[d.Connection]})
+			c := g.conns[d.Connection]
+			c.busy = true
+			g.answer(d.Request, start{conn: c})
 		case queue.Refuse:
 			g.answer(d.Request, start{refusal: g.refusal(d.Reason)})
 		case queue.Open:
@@ -379,6 +381,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.s.now()
+	c.busy = false
 	if !usable {
 		delete(g.conns, c.id)
 		delete(g.held, r.Session)
@@ -394,25 +397,35 @@
 		delete(g.held, r.Session)
 	}
 	g.decide(g.queue.Finish(now, id, inside))
-	if !inside {
+	switch {
+	case !inside:
+		c.ended = false
 		g.drop(r.Session)
+	case c.ended:
+		go g.end(r.Session)
 	}
 }
 
-// end rolls back the transaction of a session.
+// end rolls back the transaction of a session. While a statement of it runs, that is
+// left to the statement's end, since a connection carries one statement at a time.
 func (g *Gateway) end(session string) {
 	g.mu.Lock()
 	c := g.held[session]
-	if c == nil {
+	if c == nil || c.busy {
+		if c != nil {
+			c.ended = true
+		}
 		g.mu.Unlock()
 		return
 	}
+	c.busy, c.ended = true, false
 	n := g.sessions[session]
 	delete(g.held, session)
 	g.mu.Unlock()
 	a, err := c.Rollback(g.s.now().Add(housekeeping))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.busy = false
 	if err == nil && a.Code == call.OK {
 		c.open, c.wrote = call.OpenNone, false
 		g.decide(g.queue.Free(g.s.now(), n))
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -22,6 +22,8 @@
 	teams  []string
 	open   int
 	answer func(text string) (call.Answer, error)
+	// block is called before a statement is noted, without the lock.
+	block func(text string)
 }
 
 func (s *script) Dial(_ context.Context, _, _, team, _ string) (Conn, error) {
@@ -46,6 +48,9 @@
 }
 
 func (c *scripted) do(text string) (call.Answer, error) {
+	if c.s.block != nil {
+		c.s.block(text)
+	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.s.sent = append(c.s.sent, text)
@@ -279,3 +284,34 @@
 	}
 	wantSent(t, s, "begin read", "read 2", "rollback")
 }
+
+// TestEndDuringStatement guards against two statements at once on one connection, whose
+// answers would be taken for each other's: the end of a transaction arrives while its
+// statement runs.
+func TestEndDuringStatement(t *testing.T) {
+	running, goOn := make(chan bool), make(chan bool)
+	s, g := newTest(func(text string) (call.Answer, error) {
+		return call.Answer{}, nil
+	})
+	s.block = func(text string) {
+		if text == "read 2" {
+			close(running)
+			<-goOn
+		}
+	}
+	g.Run(context.Background(), opening(request("s", "1", call.Read), call.OpenRead))
+	done := make(chan call.Reply)
+	go func() { done <- g.Run(context.Background(), inside(request("s", "2", call.Read))) }()
+	<-running
+	g.End("u", "s")
+	wantSent(t, s, "begin read", "read 1")
+	close(goOn)
+	if r := <-done; r.Code != call.OK {
+		t.Errorf("reply %+v", r)
+	}
+	wantSent(t, s, "begin read", "read 1", "read 2", "rollback")
+	// The connection is free again.
+	if r := g.Run(context.Background(), request("t", "3", call.Read)); r.Code != call.OK {
+		t.Errorf("reply %+v", r)
+	}
+}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -30,7 +30,7 @@
 	// grantTimeout bounds the exchange with the owner.
 	grantTimeout = 300 * time.Millisecond
 	// leaseLook is the time between two looks at the lease of an instance that may take it.
-	leaseLook = 2 * time.Second
+	leaseLook = time.Second
 	// leaseName is the name of the object that holds the lease.
 	leaseName = "limits"
 	// standbys is the number of instances that may take the lease.
@@ -54,6 +54,7 @@
 	looked  time.Time
 	looking bool
 	owned   lease.SoleRecord // the newest lease known, also from others
+	ended   string           // a holder that is known to have ended
 }
 
 func newLimits(n *Node) *limits {
@@ -282,7 +283,9 @@
 	}
 	l.mu.Lock()
 	now := l.n.now()
-	record, revision, due := l.lease.Due(now, candidate)
+	// The instance that held the lease before it was restarted can take it at once.
+	candidate = candidate || l.owned.Machine == l.n.self.Address && !l.n.draining.Load()
+	record, revision, due := l.lease.Due(now, candidate, l.ended)
 	look := candidate && !due && !l.looking && !l.lease.Valid(now) && now.Sub(l.looked) >= leaseLook
 	l.looking = l.looking || look
 	l.mu.Unlock()
@@ -305,6 +308,28 @@
 	if err == nil || errors.Is(err, ErrMissing) {
 		l.observe(l.looked, o)
 	}
+	if r := l.lease.Record(); r.Holder != "" && r.Holder != l.n.self.ID && r.Machine != l.n.self.Address {
+		go l.check(r)
+	}
+}
+
+// check asks the instance of the holder whether it is still the same run.
+func (l *limits) check(r lease.SoleRecord) {
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	var pong Pong
+	if err := l.n.peers.Call(ctx, r.Machine, "Node.Ping", Ping{From: l.n.self.Address, Sum: l.n.tables.sum()}, &pong); err != nil {
+		return // without an answer the lease is waited for
+	}
+	if pong.ID == r.Holder {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended != r.Holder {
+		l.ended = r.Holder
+		l.n.log.Info("limit: owner has ended", "owner", r.Holder, "now", pong.ID)
+	}
 }
 
 // write renews or takes the lease and removes the objects of lost instances.
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -47,21 +47,24 @@
 // SuspectNote tells the instance that acts for a group what another one has seen.
 type SuspectNote struct{ Group, Upstream, Reason string }
 
-// Ping asks whether an instance is there, and tells which tables the asking one has.
+// Ping asks whether an instance is there. Sum tells the tables of the asking one, and
+// Epoch and Beat the newest lease of the limits that it knows.
 type Ping struct {
-	From  string
-	Marks map[Kind]Mark
+	From        string
+	Sum         uint64
+	Epoch, Beat uint64
 }
 
-// Pong answers a Ping. Lease is the newest lease of the limits that the instance knows.
+// Pong answers a Ping. Lease is set if it is newer than what the asking instance knows.
 type Pong struct {
+	ID      string // of the run
 	Leaving bool
-	Marks   map[Kind]Mark
+	Sum     uint64
 	Lease   lease.SoleRecord
 }
 
-// TablesAsk asks for copies of tables that are newer than these revisions.
-type TablesAsk struct{ Have map[Kind]uint64 }
+// TablesAsk asks for copies of tables that are newer than these.
+type TablesAsk struct{ Have map[Kind]Mark }
 
 // TablesReply answers it.
 type TablesReply struct{ Tables []Table }
@@ -130,8 +133,11 @@
 
 // Ping answers.
 func (s *service) Ping(p Ping, reply *Pong) error {
-	reply.Leaving, reply.Marks, reply.Lease = s.n.draining.Load(), s.n.tables.marks(), s.n.limits.record()
-	if s.n.tables.behind(p.Marks) {
+	reply.ID, reply.Leaving, reply.Sum = s.n.self.ID, s.n.draining.Load(), s.n.tables.sum()
+	if r := s.n.limits.record(); r.Epoch > p.Epoch || r.Epoch == p.Epoch && r.Beat > p.Beat {
+		reply.Lease = r
+	}
+	if reply.Sum != p.Sum {
 		go s.n.askTables(context.Background(), p.From)
 	}
 	return nil
@@ -256,7 +262,8 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var pong Pong
-	if err := n.peers.Call(ctx, address, "Node.Ping", Ping{From: n.self.Address, Marks: n.tables.marks()}, &pong); err != nil {
+	r, sum := n.limits.record(), n.tables.sum()
+	if err := n.peers.Call(ctx, address, "Node.Ping", Ping{n.self.Address, sum, r.Epoch, r.Beat}, &pong); err != nil {
 		n.unanswered(address, err)
 		return
 	}
@@ -265,7 +272,7 @@
 	n.peer(address).leaving = pong.Leaving
 	n.mu.Unlock()
 	n.limits.learn(pong.Lease)
-	if n.tables.behind(pong.Marks) {
+	if pong.Sum != sum {
 		n.askTables(ctx, address)
 	}
 }
@@ -304,9 +311,9 @@
 	watchersLarge = 2
 	// gather is the time in which changes of instances are gathered into one answer.
 	gather = 700 * time.Millisecond
-	// lookEvery is the mean time between two looks at the store of an instance that does
+	// lookEvery is the least time between two looks at the store of an instance that does
 	// not watch. It learns of changes from the watchers of its failure domain.
-	lookEvery = 8 * time.Second
+	lookEvery = 20 * time.Second
 	// lookWait is the shortest wait of a watch, for a look without waiting.
 	lookWait = time.Millisecond
 )
@@ -320,7 +327,7 @@
 	large := len(n.snapshot.Load().instances) > pingAll
 	switch watches := n.watches(); {
 	case large && !watches:
-		return lookEvery/2 + rand.N(lookEvery), lookWait
+		return lookEvery + rand.N(lookEvery), lookWait
 	case k == KindInstance:
 		return gather, watchWait
 	case !watches:
@@ -377,7 +384,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply TablesReply
-	if err := n.peers.Call(ctx, address, "Node.Tables", TablesAsk{Have: n.tables.revisions()}, &reply); err != nil {
+	if err := n.peers.Call(ctx, address, "Node.Tables", TablesAsk{Have: n.tables.marks()}, &reply); err != nil {
 		n.unanswered(address, err)
 		return
 	}
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -44,7 +44,9 @@
 	leaderWork = 20 * time.Millisecond
 	// regionTrip and domainTrip are the assumed round trips between regions and between
 	// failure domains. They only order the choices.
-	regionTrip = 30 * time.Millisecond
+	// The one between regions is set higher than the trip itself, since bytes between
+	// regions are the dearest.
+	regionTrip = 45 * time.Millisecond
 	domainTrip = 3 * time.Millisecond
 	// noticeMargin is kept of the bound after which an upstream that leaves must get no
 	// new work.
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -101,17 +101,14 @@
 }
 
 // digest hashes the names and revisions of objects, in any order.
-func digest(objects map[string]Object) uint64 {
-	var sum uint64
+func digest(k Kind, objects map[string]Object) uint64 {
+	sum := xxhash.Sum64String(string(k))
 	for name, o := range objects {
-		sum += xxhash.Sum64String(name + "\x00" + strconv.FormatUint(o.Revision, 16))
+		sum += xxhash.Sum64String(string(k) + "\x00" + name + "\x00" + strconv.FormatUint(o.Revision, 16))
 	}
 	return sum
 }
 
-// Mark tells which copy of a table an instance has.
-type Mark struct{ Revision, Digest uint64 }
-
 // tables are an instance's copies.
 type tables struct {
 	store Store
@@ -193,7 +190,7 @@
 	if next.Kind == KindUpstream {
 		t.vanish(before, next)
 	}
-	next.Digest = digest(next.Objects)
+	next.Digest = digest(next.Kind, next.Objects)
 	t.all[next.Kind] = next
 	t.mu.Unlock()
 	if before.Digest != next.Digest || before.Revision == 0 {
@@ -217,47 +214,40 @@
 	}
 }
 
-// newer returns the copies that are newer than what another instance has.
-func (t *tables) newer(have map[Kind]uint64) []Table {
+// Mark tells which copy of a table an instance has.
+type Mark struct{ Revision, Digest uint64 }
+
+// newer returns the copies that are newer than what another instance has, and differ.
+func (t *tables) newer(have map[Kind]Mark) []Table {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Table
 	for _, k := range watched {
-		if t.all[k].Revision > have[k] {
-			out = append(out, t.all[k])
+		if own := t.all[k]; own.Revision > have[k].Revision && own.Digest != have[k].Digest {
+			out = append(out, own)
 		}
 	}
 	return out
 }
 
-// marks returns the marks of all copies.
-func (t *tables) marks() map[Kind]Mark {
+// sum tells copies of the tables apart by their content.
+func (t *tables) sum() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[Kind]Mark, len(watched))
-	for k, table := range t.all {
-		out[k] = Mark{table.Revision, table.Digest}
-	}
-	return out
-}
-
-// behind reports whether another instance has a newer copy with other content.
-func (t *tables) behind(theirs map[Kind]Mark) bool {
-	for k, own := range t.marks() {
-		if their := theirs[k]; their.Revision > own.Revision && their.Digest != own.Digest {
-			return true
-		}
+	var sum uint64
+	for _, table := range t.all {
+		sum += table.Digest
 	}
-	return false
+	return sum
 }
 
-// revisions returns the revisions of all copies.
-func (t *tables) revisions() map[Kind]uint64 {
+// marks returns the marks of all copies.
+func (t *tables) marks() map[Kind]Mark {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[Kind]uint64, len(watched))
+	out := make(map[Kind]Mark, len(watched))
 	for k, table := range t.all {
-		out[k] = table.Revision
+		out[k] = Mark{table.Revision, table.Digest}
 	}
 	return out
 }
