End a transaction only when none of its statements waits; split the leaders

A test of the log's background writer failed once of a few runs: a batch grew while lines came, so that none was lost; the batch has a bound now. Change: the end waits for requests of the session without a reply, and those that wait run no more. Reserve 40 %, owner 60 % of a team's rate; one statement ahead of the slots.

--- a/cmd/burdockseam/platform.go
+++ b/cmd/burdockseam/platform.go
@@ -28,7 +28,7 @@
 	}
 	out, end := logs.Background(os.Stdout)
 	defer end()
-	log := logr.FromSlogHandler(logs.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: logs.LevelRoutine}), logs.NewLimiter(logs.Default), time.Now))
+	log := logr.FromSlogHandler(logs.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: logs.LevelRoutine}), logs.NewLimiter(logs.Requests), time.Now))
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -12,13 +12,12 @@
 
 const (
 	// ReserveShare is the part of a team's rate and burst that is spent without the owner.
-	ReserveShare = 0.45
-	// OwnerShare is the part that the owner grants. The rest covers the time in which
-	// instances count each other differently.
-	OwnerShare = 0.45
+	ReserveShare = 0.4
+	// OwnerShare is the part that the owner grants.
+	OwnerShare = 0.6
 	// WholeShare is the part that the owner grants of the rate of a team that has no
 	// reserve.
-	WholeShare = 0.9
+	WholeShare = 1.0
 	// reserveLeast is the burst in tokens that an instance needs for a reserve. It lies
 	// above the one at which the owner grants only a part, so that instances that count
 	// each other differently do not spend both.
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -17,6 +17,10 @@
 		}
 		return call.Refusal(call.Unreachable, "the upstream closed the connection")
 	}
+	if r.Inside && g.isEnded(c) {
+		g.release(c, id, r, true)
+		return call.Refusal(call.Aborted, "the transaction was ended")
+	}
 	if !g.s.now().Before(deadline) {
 		g.release(c, id, r, true)
 		return call.Refusal(call.Busy, "the time for the statement is over")
@@ -45,6 +49,13 @@
 	return g.statement(c, id, r, deadline, proof)
 }
 
+// isEnded reports whether the connection's transaction is to be rolled back.
+func (g *Gateway) isEnded(c *pooled) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.ended
+}
+
 // busyPause is the time between two tries of a statement of a transaction. It is about
 // the mean time of a statement, after which a slot is free.
 const busyPause = 10 * time.Millisecond
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -38,6 +38,10 @@
 	connectionShare = 0.75
 	// holdLimit ends a hold if the instance that asked for it is lost.
 	holdLimit = 2 * time.Second
+	// ahead is the number of statements sent beyond the upstream's slots, so that a slot
+	// does not stay free for the time of an answer and the next statement. The upstream
+	// queues them.
+	ahead = 1
 	// unreachableFor is the time for which a failed connection attempt answers for the
 	// upstream, so that a queue of requests does not wait for one attempt each.
 	unreachableFor = 100 * time.Millisecond
@@ -159,6 +163,7 @@
 	sessions map[string]uint64 // numbers of sessions in the queue
 	owners   map[uint64]string // the reverse
 	held     map[string]*pooled
+	inflight map[string]int // requests of each session that have no reply yet
 	used     time.Time
 	last     uint64 // the last number given to a request or session
 	ticking  bool
@@ -178,12 +183,12 @@
 	return &Gateway{
 		s: s, group: r.Group, upstream: r.Upstream, address: r.Address,
 		queue: queue.New(queue.Options{
-			Slots: max(1, r.Slots), Connections: max(2, int(float64(r.Limit)*connectionShare)),
+			Slots: max(1, r.Slots) + ahead, Connections: max(2, int(float64(r.Limit)*connectionShare)),
 			Bound: true, Idle: r.Idle,
 		}),
 		waiting: make(map[uint64]chan start), conns: make(map[uint64]*pooled),
 		sessions: make(map[string]uint64), owners: make(map[uint64]string),
-		held: make(map[string]*pooled), used: s.now(),
+		held: make(map[string]*pooled), inflight: make(map[string]int), used: s.now(),
 	}
 }
 
@@ -192,7 +197,8 @@
 	now := g.s.now()
 	deadline := now.Add(r.Budget)
 	g.mu.Lock()
-	if g.closed || r.Inside && g.held[r.Session] == nil {
+	g.inflight[r.Session]++
+	if g.closed || r.Inside && (g.held[r.Session] == nil || g.held[r.Session].ended) {
 		g.mu.Unlock()
 		return g.finish(r.Session, call.Refusal(call.Aborted, "the transaction is gone"))
 	}
@@ -239,6 +245,12 @@
 func (g *Gateway) finish(session string, r call.Reply) call.Reply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.inflight[session]--; g.inflight[session] <= 0 {
+		delete(g.inflight, session)
+		if c := g.held[session]; c != nil && c.ended {
+			go g.end(session)
+		}
+	}
 	g.drop(session)
 	r.Load = g.queue.Queued() + g.queue.Running()
 	return r
@@ -397,21 +409,18 @@
 		delete(g.held, r.Session)
 	}
 	g.decide(g.queue.Finish(now, id, inside))
-	switch {
-	case !inside:
+	if !inside {
 		c.ended = false
 		g.drop(r.Session)
-	case c.ended:
-		go g.end(r.Session)
 	}
 }
 
-// end rolls back the transaction of a session. While a statement of it runs, that is
-// left to the statement's end, since a connection carries one statement at a time.
+// end rolls back the transaction of a session. If a statement of it runs, the rollback
+// waits for its answer; one that still waits for a slot does not run any more.
 func (g *Gateway) end(session string) {
 	g.mu.Lock()
 	c := g.held[session]
-	if c == nil || c.busy {
+	if c == nil || c.busy || g.inflight[session] > 0 {
 		if c != nil {
 			c.ended = true
 		}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -315,3 +315,48 @@
 		t.Errorf("reply %+v", r)
 	}
 }
+
+// TestEndWhileWaiting guards against a statement outside of its transaction: the end of
+// the transaction arrives while its statement waits for a slot.
+func TestEndWhileWaiting(t *testing.T) {
+	goOn, freed := make(chan bool), make(chan bool)
+	var blocked sync.WaitGroup
+	s, g := newTest(nil)
+	s.block = func(text string) {
+		switch {
+		case strings.HasPrefix(text, "read long"):
+			blocked.Done()
+			<-goOn
+		case text == "rollback":
+			<-freed // slots become free while the rollback is on its way
+		}
+	}
+	g.Run(context.Background(), opening(request("s", "1", call.Read), call.OpenRead))
+	var done sync.WaitGroup
+	for _, id := range []string{"long1", "long2", "long3"} { // all slots, and the one ahead
+		blocked.Add(1)
+		done.Add(1)
+		go func() { defer done.Done(); g.Run(context.Background(), request(id, id, call.Read)) }()
+	}
+	blocked.Wait()
+	reply := make(chan call.Reply)
+	go func() { reply <- g.Run(context.Background(), inside(request("s", "2", call.Read))) }()
+	for g.Open() < 5 { // three run, one waits, one transaction is open
+		time.Sleep(time.Millisecond)
+	}
+	g.End("u", "s")
+	time.Sleep(20 * time.Millisecond)
+	close(goOn)
+	done.Wait()
+	if r := <-reply; r.Code != call.Aborted || r.Ran != call.RanNo {
+		t.Errorf("reply %+v", r)
+	}
+	close(freed)
+	deadline := time.Now().Add(2 * time.Second)
+	for time.Now().Before(deadline) && !slices.Contains(s.log(), "rollback") {
+		time.Sleep(time.Millisecond)
+	}
+	if log := s.log(); !slices.Contains(log, "rollback") || slices.Contains(log, "read 2") {
+		t.Errorf("sent %q", log)
+	}
+}
--- a/io/logs/background.go
+++ b/io/logs/background.go
@@ -10,6 +10,9 @@
 // counted, since no request may wait for a slow reader of the log.
 const backlog = 4096
 
+// maxBatch bounds the lines that are written at once.
+const maxBatch = 256
+
 // background writes lines in the order in which they come, without making the writer
 // wait.
 type background struct {
@@ -48,14 +51,8 @@
 func (b *background) run(out io.Writer) {
 	for line := range b.lines {
 		batch := line
-		for more := true; more; {
-			select {
-			case next, ok := <-b.lines:
-				batch = append(batch, next...)
-				more = ok
-			default:
-				more = false
-			}
+		for n := 1; n < maxBatch && len(b.lines) > 0; n++ {
+			batch = append(batch, <-b.lines...)
 		}
 		// A failed write means that nobody reads the log any more.
 		if _, err := out.Write(batch); err != nil {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -22,8 +22,23 @@
 	Rate float64
 	// Burst is in lines; at least 1.
 	Burst int
+	// Routine is the rate of lines below the level of information, which are left out
+	// first; 0 means Rate.
+	Routine float64
 }
 
+// rate returns the rate of lines of a level.
+func (l Limit) rate(level slog.Level) float64 {
+	if level < slog.LevelInfo && l.Routine > 0 {
+		return l.Routine
+	}
+	return l.Rate
+}
+
+// Requests suits a platform whose operators trace single requests: each refused or
+// failed one has its line up to some hundred a second, and some of the others have one.
+var Requests = Limit{Rate: 300, Burst: 600, Routine: 10}
+
 // Default suits a terminal and a collector: a busy instance writes at most a few
 // hundred lines a second, and a rare line is never left out.
 var Default = Limit{Rate: 20, Burst: 50}
@@ -65,7 +80,7 @@
 		b = &bucket{tokens: float64(l.limit.Burst), at: now}
 		l.kinds[k] = b
 	}
-	l.fill(now, b)
+	l.fill(now, k, b)
 	if b.tokens < 1 {
 		b.left++
 		return false, 0
@@ -75,8 +90,8 @@
 	return true, left
 }
 
-func (l *Limiter) fill(now time.Time, b *bucket) {
-	b.tokens = min(float64(l.limit.Burst), b.tokens+l.limit.Rate*max(0, now.Sub(b.at).Seconds()))
+func (l *Limiter) fill(now time.Time, k kind, b *bucket) {
+	b.tokens = min(float64(l.limit.Burst), b.tokens+l.limit.rate(k.level)*max(0, now.Sub(b.at).Seconds()))
 	b.at = now
 }
 
@@ -95,7 +110,7 @@
 	var list []Left
 	for _, k := range slices.SortedFunc(maps.Keys(l.kinds), kind.compare) {
 		b := l.kinds[k]
-		l.fill(now, b)
+		l.fill(now, k, b)
 		if b.left > 0 && (all || b.tokens >= 1) {
 			list = append(list, Left{k.level, k.message, b.left})
 			b.left = 0
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -93,3 +93,22 @@
 	}
 	want(t, out, "leftout=2", 1)
 }
+
+// TestRoutine guards against lines about failures that are left out while lines about
+// successes still pass.
+func TestRoutine(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := NewLimiter(Limit{Rate: 10, Burst: 1, Routine: 1})
+	passed := make(map[slog.Level]int)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, level := range []slog.Level{LevelRoutine, slog.LevelInfo} {
+			if ok, _ := l.Pass(now, level, "line"); ok {
+				passed[level]++
+			}
+		}
+	}
+	if passed[slog.LevelInfo] != 100 || passed[LevelRoutine] != 10 {
+		t.Errorf("passed %v in 10 s", passed)
+	}
+}
--- /dev/null
+++ b/io/node/change.go
@@ -0,0 +1,214 @@
+package node
+
+// Changes of a primary: the commands of core/failover's Ordered are carried out and their
+// results fed back.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"burdockseam/core/failover"
+)
+
+// begin starts a change of the primary. The lock is held.
+func (l *leaders) begin(g *group, planned bool, reason string) {
+	s := l.n.snapshot.Load()
+	l.members(g, s)
+	if g.change.Start(l.n.now(), planned, reason) {
+		g.ordered = l.n.now()
+		l.n.log.Info("group: change of primary begins", "group", g.name, "primary", g.leader, "planned", planned, "why", reason, "upstreams", len(s.groups[g.name]))
+		l.n.metrics.count("burdockseam_promotions_total{step=\"begun\"}")
+		l.wake()
+	}
+}
+
+// perform carries out a command of a change and feeds the result back.
+func (l *leaders) perform(ctx context.Context, g *group, c failover.Command) {
+	u := l.n.snapshot.Load().upstreams[c.Upstream]
+	sent := l.n.now()
+	switch c.Action {
+	case failover.ActionDraw:
+		l.draw(ctx, g)
+	case failover.ActionHold, failover.ActionFree:
+		running := l.hold(ctx, u, c.Action == failover.ActionHold)
+		l.feed(func(now time.Time) { g.change.Held(now, running) })
+	case failover.ActionPause:
+		if u == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, pauseTimeout)
+		defer cancel()
+		s, err := l.n.platform.Controls.Pause(ctx, l.target(u), c.Term)
+		l.n.log.Info("group: replica paused", "group", g.name, "upstream", c.Upstream, "term", c.Term, "received", s.Received.String(), "primary", s.Primary, "err", text(err))
+		l.feed(func(now time.Time) { g.change.Paused(now, sent, c.Upstream, s, err) })
+	case failover.ActionList:
+		l.list(ctx)
+		l.feed(func(now time.Time) {
+			l.members(g, l.n.snapshot.Load())
+			g.change.Listed(now)
+		})
+	case failover.ActionOrder:
+		l.order(ctx, g, c)
+	case failover.ActionSurvey:
+		if u == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, pauseTimeout)
+		defer cancel()
+		leads, position, err := l.n.platform.Controls.Leads(ctx, l.target(u))
+		if refusedBy(err) {
+			err = nil // it is there
+		}
+		if leads {
+			l.proved(g.name, u.Name, sent, position, l.n.now(), false)
+		}
+		l.n.log.Info("group: replica asked", "group", g.name, "upstream", c.Upstream, "leads", leads, "err", text(err))
+		l.feed(func(now time.Time) { g.change.Surveyed(now, sent, c.Upstream, leads, err) })
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// feed hands a result to a change.
+func (l *leaders) feed(f func(now time.Time)) {
+	l.mu.Lock()
+	f(l.n.now())
+	l.mu.Unlock()
+	l.wake()
+}
+
+// order orders a promotion and tells the others about it.
+func (l *leaders) order(ctx context.Context, g *group, c failover.Command) {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	response, err := l.n.platform.Promoter.Promote(call, g.name, c.Upstream, l.n.settings.Name, c.Token)
+	cancel()
+	l.n.log.Info("group: promotion ordered", "group", g.name, "upstream", c.Upstream, "token", c.Token, "response", response, "err", text(err))
+	leader := ""
+	l.feed(func(now time.Time) {
+		var out []failover.Command
+		if leader, out = g.change.Answered(now, c, response); leader != "" {
+			l.n.log.Info("group: change of primary over", "group", g.name, "primary", leader, "why", g.change.Reason(), "took", now.Sub(g.ordered))
+		}
+		for _, c := range out {
+			go l.perform(ctx, g, c)
+		}
+	})
+	if leader != "" {
+		l.n.metrics.count("burdockseam_promotions_total{step=\"done\"}")
+		l.promoted(g.name, leader)
+		l.n.broadcast(ctx, "Node.Lead", LeadNote{g.name, leader})
+	}
+}
+
+// hold stops or resumes new work at an upstream's gateways.
+func (l *leaders) hold(ctx context.Context, u *upstream, held bool) int {
+	if u == nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, pauseTimeout/2)
+	defer cancel()
+	note := HoldNote{u.Name, held}
+	running := l.n.gateways.Hold(u.Name, held)
+	list := l.n.snapshot.Load().ranked(u)
+	for _, i := range list[:min(len(list), 3)] {
+		if i.Address == l.n.self.Address {
+			continue
+		}
+		var r HoldReply
+		if err := l.n.peers.Call(ctx, i.Address, "Node.Hold", note, &r); err != nil {
+			l.n.unanswered(i.Address, err)
+			continue
+		}
+		running += r.Running
+	}
+	return running
+}
+
+// list reads the registry from the store.
+func (l *leaders) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pauseTimeout)
+	defer cancel()
+	objects, revision, err := l.n.platform.Store.List(ctx, KindUpstream)
+	if err != nil {
+		l.n.log.Info("group: registry not read before the order", "err", err.Error())
+		return
+	}
+	t := Table{Kind: KindUpstream, Revision: revision, Objects: make(map[string]Object, len(objects))}
+	for _, o := range objects {
+		t.Objects[o.Name] = o
+	}
+	l.n.tables.install(t)
+}
+
+// token is the content of the object from which a group's tokens are drawn.
+type token struct {
+	Token  uint64 `json:"token"`
+	Holder string `json:"holder"`
+	// Nonce tells the draws of a holder apart, so that a draw whose answer was lost can be
+	// recognized.
+	Nonce uint64 `json:"nonce"`
+}
+
+// draw draws the next token of a group by a conditional update.
+func (l *leaders) draw(ctx context.Context, g *group) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	store := l.n.platform.Store
+	l.mu.Lock()
+	if g.change.Drawn() {
+		l.mu.Unlock()
+		return
+	}
+	g.nonce++
+	next := token{Holder: l.n.self.ID, Nonce: g.nonce}
+	l.mu.Unlock()
+	present, err := store.Get(ctx, KindPromotion, g.name)
+	var before token
+	if err == nil {
+		if err = json.Unmarshal(present.Data, &before); err != nil {
+			l.n.log.Info("group: token not understood", "group", g.name, "err", err.Error())
+			return
+		}
+	}
+	if err != nil && !errors.Is(err, ErrMissing) {
+		l.n.log.Info("group: no token drawn", "group", g.name, "err", err.Error())
+		return
+	}
+	next.Token = before.Token + 1
+	data, err := json.Marshal(next)
+	if err != nil {
+		l.n.log.Error(err, "group: no token drawn", "group", g.name)
+		return
+	}
+	o := Object{Name: g.name, Revision: present.Revision, Data: data}
+	if present.Revision == 0 {
+		_, err = store.Create(ctx, KindPromotion, o)
+	} else {
+		_, err = store.Replace(ctx, KindPromotion, o)
+	}
+	if err != nil {
+		l.n.log.Info("group: no token drawn", "group", g.name, "err", err.Error())
+		if errors.Is(err, ErrConflict) || !l.drew(ctx, g, next) {
+			return
+		}
+	}
+	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token)
+	l.feed(func(time.Time) { g.change.Drew(next.Token) })
+}
+
+// drew reads whether a draw without an answer has taken effect.
+func (l *leaders) drew(ctx context.Context, g *group, want token) bool {
+	o, err := l.n.platform.Store.Get(ctx, KindPromotion, g.name)
+	if err != nil {
+		return false
+	}
+	var have token
+	return json.Unmarshal(o.Data, &have) == nil && have == want
+}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -131,7 +132,7 @@
 	case code != call.OK:
 		n.log.Info("request: refused", "database", database, "code", code, "version", policy.Version)
 		n.metrics.count("burdockseam_refused_total{reason=\"" + string(code) + "\"}")
-		return grant, call.Refusal(code, "version "+itoa(policy.Version))
+		return grant, call.Refusal(code, "version "+strconv.FormatUint(policy.Version, 10))
 	case grant.Team.Name == "":
 		return grant, call.Reply{}
 	case n.isolated():
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -61,7 +61,6 @@
 	sent     int // statements of this instance without an answer
 	lacked   time.Time
 	lackedAt wal.Position
-	work     time.Duration // mean time of a read
 }
 
 // link is a gateway and an upstream.
