Share a full upstream's connections; get floors from the acting instance

In large fleets, and after a loss of all instances, an instance rarely has evidence of its own about a primary, so that reads which may be old went to the primary. Change: idle connections are closed where the gateway is placed elsewhere or leaves; a full upstream lowers the limit for a second; a read without a floor asks the instance that acts for the group. An upstream that leaves gets no new work 2 s before the bound (1.5 s before). Tests: TestBoundLimit, TestTrim.

--- a/core/queue/bound_test.go
+++ b/core/queue/bound_test.go
@@ -48,3 +48,52 @@
 		t.Errorf("started %v while an opening connection takes a slot", s)
 	}
 }
+
+// TestBoundLimit guards against a team that waits for a connection while others hold idle
+// ones that the upstream counts: below the limit the idle ones make room.
+func TestBoundLimit(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	q := New(Options{Slots: 2, Connections: 4, Bound: true})
+	open := func(list []Decision) (uint64, bool) {
+		for _, d := range list {
+			if d.Kind == Open {
+				return d.Connection, true
+			}
+		}
+		return 0, false
+	}
+	for k, team := range []string{"x", "y"} {
+		c, ok := open(q.Arrive(now, Request{ID: uint64(k + 1), Team: team}))
+		if !ok {
+			t.Fatalf("no connection for %s", team)
+		}
+		q.Opened(now, c)
+		q.Finish(now, uint64(k+1), false)
+	}
+	c, _ := open(q.Arrive(now, Request{ID: 3, Team: "z"}))
+	q.Lost(now, c) // the upstream is full
+	q.Limit(now, q.Connections())
+	later := now.Add(time.Second)
+	list := q.Tick(later)
+	if _, ok := open(list); !ok || list[0].Kind != Close {
+		t.Errorf("decisions %v, want a connection closed and one opened", list)
+	}
+	if q.Connections() != 2 {
+		t.Errorf("%d connections", q.Connections())
+	}
+}
+
+// TestTrim guards against idle connections that stay at a gateway that is replaced.
+func TestTrim(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	q := New(Options{Slots: 2, Connections: 4, Bound: true})
+	list := q.Arrive(now, Request{ID: 1, Team: "x"})
+	q.Opened(now, list[len(list)-1].Connection)
+	q.Finish(now, 1, false)
+	if list := q.Trim(now.Add(50*time.Millisecond), 100*time.Millisecond); len(list) != 0 {
+		t.Errorf("closed %v too early", list)
+	}
+	if list := q.Trim(now.Add(100*time.Millisecond), 100*time.Millisecond); len(list) != 1 || list[0].Kind != Close {
+		t.Errorf("decisions %v", list)
+	}
+}
--- a/core/queue/schedule.go
+++ b/core/queue/schedule.go
@@ -53,11 +53,48 @@
 		c.since, c.idleAt = now, now
 	default:
 		q.leave(c, ReasonTransaction)
-		q.idle = append(q.idle, c)
+		q.rest(now, c)
 	}
 	return q.step(now)
 }
 
+// rest puts a connection among the idle ones.
+func (q *Queue) rest(now time.Time, c *conn) {
+	c.idleAt = now
+	q.idle = append(q.idle, c)
+}
+
+// Trim closes connections that have been idle for a time, so that another gateway can
+// open some.
+func (q *Queue) Trim(now time.Time, after time.Duration) []Decision {
+	for k := 0; k < len(q.idle); {
+		if now.Sub(q.idle[k].idleAt) < after {
+			k++
+			continue
+		}
+		q.closeIdle(k)
+	}
+	return q.step(now)
+}
+
+// closeIdle closes the idle connection at a place of the list of idle ones.
+func (q *Queue) closeIdle(k int) {
+	c := q.idle[k]
+	q.idle = slices.Delete(q.idle, k, k+1)
+	delete(q.conns, c.id)
+	q.out = append(q.out, Decision{Kind: Close, Connection: c.id, Reason: ReasonReplaced})
+}
+
+// Limit sets the number of connections that may be open, at least one. Open ones stay,
+// but the idle ones of other teams make room for new ones.
+func (q *Queue) Limit(now time.Time, connections int) []Decision {
+	q.o.Connections = max(1, connections)
+	return q.step(now)
+}
+
+// Connections returns the number of connections that are open or being opened.
+func (q *Queue) Connections() int { return len(q.conns) }
+
 // Free takes in that the transaction of a session has ended while none of its
 // requests was running. The connection can be used by others.
 func (q *Queue) Free(now time.Time, session uint64) []Decision {
@@ -67,7 +104,7 @@
 	}
 	q.accrue(now)
 	q.leave(c, ReasonTransaction)
-	q.idle = append(q.idle, c)
+	q.rest(now, c)
 	return q.step(now)
 }
 
@@ -109,7 +146,7 @@
 	c.opening = false
 	q.opening--
 	q.backoff = 0
-	q.idle = append(q.idle, c)
+	q.rest(now, c)
 	return q.step(now)
 }
 
@@ -251,9 +288,7 @@
 func (q *Queue) giveUp(t *team) bool {
 	for k, c := range q.idle {
 		if c.owner != t {
-			q.idle = slices.Delete(q.idle, k, k+1)
-			delete(q.conns, c.id)
-			q.out = append(q.out, Decision{Kind: Close, Connection: c.id, Reason: ReasonReplaced})
+			q.closeIdle(k)
 			return true
 		}
 	}
--- a/core/route/floors.go
+++ b/core/route/floors.go
@@ -58,10 +58,11 @@
 	return wal.Position{}, false
 }
 
-// Last returns the newest position, and false if there is none.
-func (f *Floors) Last() (wal.Position, bool) {
+// Last returns the newest position and the time at which the primary is proven to have
+// had it, and false if there is none.
+func (f *Floors) Last() (p wal.Position, at time.Time, ok bool) {
 	if n := len(f.list); n > 0 {
-		return f.list[n-1].position, true
+		return f.list[n-1].position, f.list[n-1].at, true
 	}
-	return wal.Position{}, false
+	return wal.Position{}, time.Time{}, false
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -38,6 +38,12 @@
 	connectionShare = 0.75
 	// holdLimit ends a hold if the instance that asked for it is lost.
 	holdLimit = 2 * time.Second
+	// cappedFor is the time for which a gateway does with the connections that it has,
+	// after the upstream has refused another one.
+	cappedFor = time.Second
+	// trimAfter is the idle time after which a connection is closed at a gateway that is
+	// placed elsewhere now.
+	trimAfter = 100 * time.Millisecond
 	// ahead is the number of statements sent beyond the upstream's slots, so that a slot
 	// does not stay free for the time of an answer and the next statement. The upstream
 	// queues them.
@@ -116,9 +122,10 @@
 	s.mu.Lock()
 	var list []*Gateway
 	for name, g := range s.all {
-		limit := idleElsewhere
-		if placed(name) {
-			limit = idleGateway
+		limit := idleGateway
+		if !placed(name) {
+			limit = idleElsewhere
+			g.trim()
 		}
 		if g.idleFor() > limit {
 			delete(s.all, name)
@@ -131,6 +138,22 @@
 	}
 }
 
+// Leave closes idle connections from now on, since other instances take over.
+func (s *Gateways) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.all {
+		g.trim()
+	}
+}
+
+// trim closes connections that have been idle for a while.
+func (g *Gateway) trim() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decide(g.queue.Trim(g.s.now(), trimAfter))
+}
+
 func (s *Gateways) find(upstream string) *Gateway {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,7 +181,7 @@
 
 	mu       sync.Mutex
 	queue    *queue.Queue
-	waiting  map[uint64]chan start
+	waiting  map[uint64]waiting
 	conns    map[uint64]*pooled
 	sessions map[string]uint64 // numbers of sessions in the queue
 	owners   map[uint64]string // the reverse
@@ -169,6 +192,8 @@
 	ticking  bool
 	closed   bool
 	unhold   *time.Timer // ends a hold that nobody ended
+	limit    int         // of connections
+	capped   time.Time   // when the upstream refused a connection; zero if not limited
 	failure  call.Reply  // of the newest connection attempt that failed
 	failed   time.Time
 }
@@ -179,14 +204,22 @@
 	refusal call.Reply
 }
 
+// waiting is a request that waits for its turn.
+type waiting struct {
+	turn chan start
+	team string
+}
+
 func newGateway(s *Gateways, r call.Request) *Gateway {
+	limit := max(2, int(float64(r.Limit)*connectionShare))
 	return &Gateway{
-		s: s, group: r.Group, upstream: r.Upstream, address: r.Address,
+		limit: limit,
+		s:     s, group: r.Group, upstream: r.Upstream, address: r.Address,
 		queue: queue.New(queue.Options{
-			Slots: max(1, r.Slots) + ahead, Connections: max(2, int(float64(r.Limit)*connectionShare)),
+			Slots: max(1, r.Slots) + ahead, Connections: limit,
 			Bound: true, Idle: r.Idle,
 		}),
-		waiting: make(map[uint64]chan start), conns: make(map[uint64]*pooled),
+		waiting: make(map[uint64]waiting), conns: make(map[uint64]*pooled),
 		sessions: make(map[string]uint64), owners: make(map[uint64]string),
 		held: make(map[string]*pooled), inflight: make(map[string]int), used: s.now(),
 	}
@@ -208,10 +241,14 @@
 		return g.finish(r.Session, reply)
 	}
 	g.used = now
+	if !g.capped.IsZero() && now.Sub(g.capped) >= cappedFor {
+		g.capped = time.Time{}
+		g.decide(g.queue.Limit(now, g.limit))
+	}
 	g.last++
 	id := g.last
 	turn := make(chan start, 1)
-	g.waiting[id] = turn
+	g.waiting[id] = waiting{turn, r.Team}
 	g.decide(g.queue.Arrive(now, queue.Request{
 		ID: id, Team: r.Team, Session: g.number(r.Session), Deadline: deadline,
 		Begin: r.Open == call.OpenWrite || r.Open == call.OpenRead,
@@ -307,9 +344,9 @@
 const retryAfter = 250 * time.Millisecond
 
 func (g *Gateway) answer(id uint64, s start) {
-	if turn := g.waiting[id]; turn != nil {
+	if w, ok := g.waiting[id]; ok {
 		delete(g.waiting, id)
-		turn <- s
+		w.turn <- s
 	}
 }
 
@@ -354,15 +391,38 @@
 	if errors.As(err, &refused) {
 		reply = call.Refusal(refused.Code, refused.Text)
 	}
+	if reply.Code == call.TooMany {
+		g.full(now, id, team, reply)
+		return
+	}
 	g.failure, g.failed = reply, now
 	g.decide(g.queue.Lost(now, id))
-	if reply.Code == call.TooMany {
-		return // requests wait for a connection until their deadline
+	for id := range g.waiting {
+		if waiting, list := g.queue.Cancel(now, id); waiting {
+			g.answer(id, start{refusal: reply})
+			g.decide(list)
+		}
 	}
-	for id, turn := range g.waiting {
+}
+
+// full takes in that the upstream accepts no more connections: for a while, teams share
+// those that are open. Requests of a team without any are answered, so that reads can go
+// elsewhere. The lock is held.
+func (g *Gateway) full(now time.Time, id uint64, team string, reply call.Reply) {
+	g.decide(g.queue.Lost(now, id))
+	g.capped = now
+	g.decide(g.queue.Limit(now, g.queue.Connections()))
+	for _, c := range g.conns {
+		if c.team == team {
+			return
+		}
+	}
+	for id, w := range g.waiting {
+		if w.team != team {
+			continue
+		}
 		if waiting, list := g.queue.Cancel(now, id); waiting {
-			delete(g.waiting, id)
-			turn <- start{refusal: reply}
+			g.answer(id, start{refusal: reply})
 			g.decide(list)
 		}
 	}
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// fetchWait bounds the wait of a read for a floor: a round trip between regions, with
+	// room for a busy instance.
+	fetchWait = 80 * time.Millisecond
 	// watchLeader is the time without evidence after which the acting instance looks at
 	// the primary itself.
 	watchLeader = 300 * time.Millisecond
@@ -64,6 +67,7 @@
 	stalls   int
 	stalled  time.Time // first commit without an answer since
 	reported time.Time
+	fetching chan struct{} // closed when a floor has arrived; nil if none is asked for
 
 	acts      bool // this instance acts for the group
 	change    *failover.Ordered
@@ -131,6 +135,55 @@
 	return l.group(name).floors.Oldest(since)
 }
 
+// fetch gets a floor from the instance that acts for the group, which has looked at the
+// primary a short time ago. Without one, reads that may be old could only go to the
+// primary. One fetch a group runs at a time; others wait for it.
+func (l *leaders) fetch(ctx context.Context, name string) {
+	l.mu.Lock()
+	g := l.group(name)
+	done := g.fetching
+	if done == nil {
+		g.fetching = make(chan struct{})
+		go l.fetchFrom(g, l.n.acting(name).Address)
+		done = g.fetching
+	}
+	l.mu.Unlock()
+	timer := time.NewTimer(fetchWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *leaders) fetchFrom(g *group, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*fetchWait)
+	defer cancel()
+	sent := l.n.now()
+	var r FloorReply
+	if address != l.n.self.Address {
+		if err := l.n.peers.Call(ctx, address, "Node.Floor", FloorAsk{g.name}, &r); err != nil {
+			l.n.unanswered(address, err)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Known {
+		g.floors.Add(sent.Add(-r.Age), r.Position)
+	}
+	close(g.fetching)
+	g.fetching = nil
+}
+
+// newest returns the newest floor for another instance.
+func (l *leaders) newest(name string) FloorReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, at, ok := l.group(name).floors.Last()
+	return FloorReply{Known: ok, Position: p, Age: l.n.now().Sub(at)}
+}
+
 // set changes the belief. The lock is held.
 func (l *leaders) set(g *group, upstream, why string) {
 	if g.leader == upstream {
@@ -192,7 +245,7 @@
 		list = append(list, failover.Candidate{Upstream: u.Name, Unfit: !u.fit, Distance: home.Distance(u.place)})
 	}
 	term := uint64(0)
-	if last, ok := g.floors.Last(); ok {
+	if last, _, ok := g.floors.Last(); ok {
 		term = last.Term
 	}
 	g.change.Members(g.leader, term, list)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -314,7 +314,10 @@
 		}
 	}()
 	n.broadcast(ctx, "Node.Leave", LeaveNote{Address: n.self.Address})
-	wait(ctx, min(offRotation, n.settings.Drain/2))
+	for n.now().Sub(began) < min(offRotation, n.settings.Drain/2) {
+		wait(ctx, drainStep)
+		n.gateways.Leave()
+	}
 	n.callers.Drain()
 	n.limits.close()
 	for n.now().Sub(began) < n.settings.Drain-lastMoment {
@@ -322,6 +325,7 @@
 			break
 		}
 		wait(ctx, drainStep)
+		n.gateways.Leave()
 	}
 	open, active = n.callers.Sessions()
 	n.log.Info("shutdown: drained", "cut", open, "transactions", active, "upstreams", n.gateways.Open(), "took", n.now().Sub(began))
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -13,6 +13,7 @@
 	"burdockseam/core/lease"
 	"burdockseam/core/placement"
 	"burdockseam/core/quota"
+	"burdockseam/core/wal"
 	"burdockseam/io/peer"
 )
 
@@ -78,6 +79,16 @@
 	Known  bool
 }
 
+// FloorAsk asks for the newest position that a group's primary was proven to have.
+type FloorAsk struct{ Group string }
+
+// FloorReply answers it. Age is the time since the proof.
+type FloorReply struct {
+	Known    bool
+	Position wal.Position
+	Age      time.Duration
+}
+
 // HoldNote stops or resumes new work at an upstream.
 type HoldNote struct {
 	Upstream string
@@ -155,6 +166,12 @@
 	return nil
 }
 
+// Floor gives the newest floor of a group.
+func (s *service) Floor(a FloorAsk, reply *FloorReply) error {
+	*reply = s.n.leaders.newest(a.Group)
+	return nil
+}
+
 // Hold stops or resumes new work at an upstream.
 func (s *service) Hold(h HoldNote, reply *HoldReply) error {
 	reply.Running = s.n.gateways.Hold(h.Upstream, h.Held)
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxAttempts bounds the places that a statement is tried at.
-	maxAttempts = 8
+	maxAttempts = 20
 	// readPart is the part of a read's time that one attempt may use, so that another
 	// one has a chance if an answer is lost or an instance is gone.
 	readPart = 0.4
@@ -35,6 +35,9 @@
 	// lagPause is the time for which a replica that lacked a position is not asked for
 	// that position again.
 	lagPause = 150 * time.Millisecond
+	// fullPause is the time for which an upstream without a free connection is passed over
+	// if there is another one. Another gateway would not help, since all count together.
+	fullPause = 150 * time.Millisecond
 	// staleMargin is kept of a staleness bound for the time that a caller's bytes were on
 	// their way.
 	staleMargin = 20 * time.Millisecond
@@ -50,7 +53,7 @@
 	domainTrip = 3 * time.Millisecond
 	// noticeMargin is kept of the bound after which an upstream that leaves must get no
 	// new work.
-	noticeMargin = 1500 * time.Millisecond
+	noticeMargin = 2 * time.Second
 )
 
 // knowledge is what answers have shown about an upstream.
@@ -58,7 +61,8 @@
 	position wal.Position
 	load     int
 	loadAt   time.Time
-	sent     int // statements of this instance without an answer
+	sent     int       // statements of this instance without an answer
+	full     time.Time // when the upstream had no connection left
 	lacked   time.Time
 	lackedAt wal.Position
 }
@@ -91,6 +95,11 @@
 
 // runFirst runs the first statement of an operation where it serves best.
 func (n *Node) runFirst(ctx context.Context, op *caller.Operation, s call.Statement, deadline time.Time) call.Reply {
+	if r := op.Grant.Route; r.Consistency != access.Primary && !s.IsWrite() && op.Kind != call.Begin {
+		if _, ok := n.leaders.floor(r.Group, op.Arrived.Add(staleMargin-r.Staleness)); !ok {
+			n.leaders.fetch(ctx, r.Group)
+		}
+	}
 	tried := make(map[string]int)
 	last := call.Refusal(call.Busy, "no upstream can run this now")
 	last.Retry = leaderRetry
@@ -212,7 +221,7 @@
 // choosePrimary picks the primary, which only refuses if it leads no more.
 func (n *Node) choosePrimary(snap *snapshot, op *caller.Operation, leader string, tried map[string]int, now time.Time) (choice, bool) {
 	u := snap.upstreams[leader]
-	if u == nil || tried[leader] >= maxAttempts/2 {
+	if u == nil || tried[leader] >= maxAttempts/2 || now.Sub(n.know(leader).full) < refusedPause {
 		return choice{}, false
 	}
 	c, ok := n.candidate(snap, op, u, now)
@@ -281,6 +290,9 @@
 	case 2:
 		cost += regionTrip
 	}
+	if now.Sub(k.full) < fullPause {
+		cost += time.Second
+	}
 	if now.Sub(k.lacked) < lagPause && after.Compare(k.lackedAt) >= 0 {
 		cost += time.Second
 	}
@@ -422,7 +434,9 @@
 	switch r.Code {
 	case call.Lagging:
 		k.lacked, k.lackedAt = now, c.after
-	case call.Unreachable, call.TooMany, call.Misrouted:
+	case call.TooMany:
+		k.full = now
+	case call.Unreachable, call.Misrouted:
 		if r.Ran == call.RanNo {
 			n.links[link{c.gateway.Address, c.up.Name}] = now.Add(linkBad)
 		}
