--- a/core/lease/sole.go
+++ b/core/lease/sole.go
@@ -9,13 +9,15 @@
 
 // Times of a Sole lease.
 const (
-	// SoleLength is above the longest store outage that the holder should survive.
-	SoleLength = 10 * time.Second
+	// SoleLength weighs two losses: work without a holder after one was lost for good, and
+	// the right that ends in a store outage. Instances that have all started again also
+	// wait for it.
+	SoleLength = 6 * time.Second
 	// soleRenew leaves three quarters of the length for an outage that begins just before
 	// a renewal.
-	soleRenew = 2500 * time.Millisecond
+	soleRenew = 1500 * time.Millisecond
 	// soleRetry is the time between two attempts.
-	soleRetry = time.Second
+	soleRetry = 500 * time.Millisecond
 )
 
 // SoleRecord is the content of the object.
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -12,9 +12,11 @@
 
 const (
 	// ReserveShare is the part of a team's rate and burst that is spent without the owner.
-	ReserveShare = 0.4
-	// OwnerShare is the part that the owner grants.
-	OwnerShare = 0.6
+	// It covers what teams usually send, so that they are served while there is no owner.
+	ReserveShare = 0.65
+	// OwnerShare is the part that the owner grants, to instances whose part of the reserve
+	// is too small for their callers.
+	OwnerShare = 0.35
 	// WholeShare is the part that the owner grants of the rate of a team that has no
 	// reserve.
 	WholeShare = 1.0
