Pause replicas anew after a promotion between the pauses

Change: an upstream that turns out to lead, or the news of a promotion, makes all answers void; a change without a paused replica is given up on that news, or when the instance acts no more; with a token drawn after one of another instance in the last 10 s, replicas are paused a second time, 1.2 s after the first. Tests: two cases of TestOrderedPromotion, of which the first loses commits with either guard removed.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -108,6 +108,12 @@
 	commandEvery = 450 * time.Millisecond
 	// retryEvery is the time between two attempts that were answered with an error.
 	retryEvery = 150 * time.Millisecond
+	// contestedWait is the time after which replicas are paused once more if another
+	// instance has drawn a token a short time ago. Its order may have been accepted before
+	// and take effect after the first pauses, which it ends. Promotions take up to a second.
+	contestedWait = 1200 * time.Millisecond
+	// contestedFor is the age up to which a drawn token counts as contested.
+	contestedFor = 10 * time.Second
 	// settle is the time after a change in which no other one begins, except for a
 	// planned one: the new primary takes some hundred milliseconds to lead.
 	settle = 1500 * time.Millisecond
@@ -132,6 +138,9 @@
 	next     time.Time // first time for another command of the phase
 	draw     time.Time // first time for another draw
 	token    uint64    // drawn and unused, or in use
+	rival    time.Time // when the token was drawn after one of another instance; or zero
+	paused   time.Time // when all replicas had paused first in a contested change
+	again    bool      // the replicas have been paused again
 	planned  bool
 	held     string // the upstream whose new work is stopped
 	target   string
@@ -179,6 +188,7 @@
 		return false
 	}
 	c.planned, c.reason, c.target = planned, reason, ""
+	c.paused, c.again = time.Time{}, false
 	c.enter(now, PhaseSurvey)
 	return true
 }
@@ -198,11 +208,24 @@
 	c.phase, c.since, c.next = p, now, now
 }
 
-// Recovered takes in that an upstream was proven to lead. A change that has paused no
-// replica yet is given up.
+// Recovered takes in that an upstream was proven to lead, or was promoted by another
+// instance. A change that has paused no replica yet is given up.
 func (c *Ordered) Recovered(now time.Time, primary string) {
-	if c.phase == PhaseSurvey && !c.planned || c.phase == PhaseSurvey && primary != c.primary {
+	switch {
+	case c.phase == PhaseSurvey && (!c.planned || primary != c.primary):
+		c.primary = primary
+		c.enter(now, PhaseIdle)
+	case (c.phase == PhasePause || c.phase == PhaseList) && primary != c.primary:
+		// Its promotion has ended the pauses.
 		c.primary = primary
+		c.enter(now, PhasePause)
+	}
+}
+
+// Abandon gives up a change that has paused no replica yet, for an instance that does
+// not act for the group any more.
+func (c *Ordered) Abandon(now time.Time) {
+	if c.phase == PhaseSurvey {
 		c.enter(now, PhaseIdle)
 	}
 }
@@ -307,6 +330,18 @@
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
 	}
+	if all && c.contested(now) {
+		switch {
+		case c.paused.IsZero():
+			c.paused = now
+			return out
+		case now.Sub(c.paused) < contestedWait:
+			return out
+		}
+		c.again = true
+		c.enter(now, PhasePause)
+		return out
+	}
 	if all && len(c.others()) > 0 {
 		c.enter(now, PhaseList)
 		out = append(out, Command{Action: ActionList})
@@ -314,6 +349,11 @@
 	return out
 }
 
+// contested reports whether the replicas must be paused once more.
+func (c *Ordered) contested(now time.Time) bool {
+	return !c.again && !c.rival.IsZero() && now.Sub(c.rival) < contestedFor
+}
+
 func (c *Ordered) order(now time.Time) []Command {
 	if now.Before(c.next) {
 		return nil
@@ -334,10 +374,14 @@
 	return []Command{{Action: ActionFree, Upstream: held}}
 }
 
-// Drew takes in a token from the store. A lower one than was used is ignored.
-func (c *Ordered) Drew(token uint64) {
-	if c.token == 0 {
-		c.token = token
+// Drew takes in a token from the store, and whether another instance drew the one before.
+func (c *Ordered) Drew(now time.Time, token uint64, contested bool) {
+	if c.token != 0 {
+		return
+	}
+	c.token, c.rival = token, time.Time{}
+	if contested {
+		c.rival = now
 	}
 }
 
@@ -361,9 +405,10 @@
 	}
 	c.term = max(c.term, s.Term)
 	if s.Primary {
-		// Another instance has promoted it. Replicas may be paused already, which only a
-		// promotion ends; every commit that it acknowledges is at one of them.
+		// Another instance has promoted it, which has ended the pauses. The replicas are
+		// paused anew: some may be paused still, and only a promotion ends that.
 		c.primary = upstream
+		c.enter(now, PhasePause)
 		return
 	}
 	r.standing, r.at = s, sent
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -23,13 +23,31 @@
 	term    uint64
 	acked   []int
 	next    int
-	drawn   uint64 // newest token in the store
+	drawn   uint64        // newest token in the store
+	drawer  *actor        // who drew it
+	takes   time.Duration // from an order to its effect
+	effects []effect
 	fence   uint64 // highest token that the platform has seen
 	pending []Command
 	lost    []int
 	actors  []*actor
 }
 
+// effect is an accepted order that takes effect later.
+type effect struct {
+	at       time.Time
+	upstream string
+}
+
+// pass moves the time on and lets orders take effect.
+func (w *orderedWorld) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	for len(w.effects) > 0 && !w.now.Before(w.effects[0].at) {
+		w.lead(w.effects[0].upstream)
+		w.effects = w.effects[1:]
+	}
+}
+
 // actor is an instance that may act for the group.
 type actor struct {
 	change   *Ordered
@@ -83,20 +101,29 @@
 		return ResponseRefused
 	}
 	w.fence = c.Token
-	if c.Upstream == w.primary {
+	if w.takes > 0 {
+		w.effects = append(w.effects, effect{w.now.Add(w.takes), c.Upstream})
 		return ResponseDone
 	}
-	w.primary, w.paused = c.Upstream, make(map[string]bool)
+	w.lead(c.Upstream)
+	return ResponseDone
+}
+
+// lead makes an upstream the primary with what it has received.
+func (w *orderedWorld) lead(upstream string) {
+	if upstream == w.primary {
+		return
+	}
+	w.primary, w.paused = upstream, make(map[string]bool)
 	w.term++
 	for _, id := range w.acked {
-		if !slices.Contains(w.logs[c.Upstream], id) {
+		if !slices.Contains(w.logs[upstream], id) {
 			w.lost = append(w.lost, id)
 		}
 	}
 	for _, name := range w.names {
-		w.logs[name] = common(w.logs[name], w.logs[c.Upstream])
+		w.logs[name] = common(w.logs[name], w.logs[upstream])
 	}
-	return ResponseDone
 }
 
 // common drops what is not in the line of the new primary.
@@ -123,8 +150,10 @@
 	x.commands, x.sent = slices.Delete(x.commands, k, k+1), slices.Delete(x.sent, k, k+1)
 	switch c.Action {
 	case ActionDraw:
+		contested := w.drawer != nil && w.drawer != x
+		w.drawer = x
 		if w.drawn++; answered {
-			x.change.Drew(w.drawn)
+			x.change.Drew(w.now, w.drawn, contested)
 		}
 	case ActionHold:
 		x.change.Held(w.now, 0)
@@ -216,7 +245,7 @@
 func drive(t *testing.T, w *orderedWorld, x *actor) {
 	t.Helper()
 	for range 400 {
-		w.now = w.now.Add(20 * time.Millisecond)
+		w.pass(20 * time.Millisecond)
 		w.send(x, x.change.Tick(w.now))
 		for len(x.commands) > 0 {
 			w.perform(x, 0, true)
@@ -248,7 +277,7 @@
 		x := w.actors[0]
 		x.change.Start(w.now, false, "test")
 		for range 100 {
-			w.now = w.now.Add(50 * time.Millisecond)
+			w.pass(50 * time.Millisecond)
 			w.send(x, x.change.Tick(w.now))
 			for len(x.commands) > 0 {
 				w.perform(x, 0, true)
@@ -292,7 +321,7 @@
 		x.change.Start(w.now, false, "test")
 		used := make(map[uint64]int)
 		for range 400 {
-			w.now = w.now.Add(20 * time.Millisecond)
+			w.pass(20 * time.Millisecond)
 			w.send(x, x.change.Tick(w.now))
 			for len(x.commands) > 0 {
 				if x.commands[0].Action == ActionOrder {
@@ -320,7 +349,7 @@
 		late.change.Start(w.now, false, "test")
 		var draws []Command
 		for range 10 {
-			w.now = w.now.Add(20 * time.Millisecond)
+			w.pass(20 * time.Millisecond)
 			w.send(late, late.change.Tick(w.now))
 			for len(late.commands) > 0 {
 				if c := late.commands[0]; c.Action == ActionDraw {
@@ -341,6 +370,46 @@
 			t.Errorf("lost %v", w.lost)
 		}
 	})
+	t.Run("pauses anew after a promotion that took effect between its pauses", func(t *testing.T) {
+		// As on the day hunt-c8f6-15 of saajghar-pool: two instances act, and the order of
+		// one takes effect after the first pause of the other.
+		w := newOrderedWorld(2)
+		w.takes = 300 * time.Millisecond
+		w.commit(all)
+		w.down["a"] = true
+		late, other := w.actors[0], w.actors[1]
+		late.change.Members("a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
+		other.change.Start(w.now, false, "test")
+		drive(t, w, other) // accepted, no effect yet
+		late.change.Start(w.now, false, "test")
+		for range 400 {
+			w.pass(20 * time.Millisecond)
+			w.down["a"] = false
+			w.commit(map[string]bool{"a": true})
+			w.send(late, late.change.Tick(w.now))
+			for len(late.commands) > 0 {
+				w.perform(late, 0, true)
+			}
+		}
+		if len(w.lost) > 0 {
+			t.Errorf("lost %v", w.lost)
+		}
+	})
+	t.Run("gives up for a promotion by another instance", func(t *testing.T) {
+		w := newOrderedWorld(1)
+		x := w.actors[0]
+		x.change.Start(w.now, false, "test")
+		x.change.Recovered(w.now, "b")
+		if x.change.Phase() != PhaseIdle {
+			t.Errorf("phase %s", x.change.Phase())
+		}
+		w.pass(2 * time.Second)
+		x.change.Start(w.now, false, "test")
+		x.change.Abandon(w.now)
+		if x.change.Phase() != PhaseIdle {
+			t.Errorf("phase %s", x.change.Phase())
+		}
+	})
 	t.Run("planned, lets the old primary go on afterwards", func(t *testing.T) {
 		w := newOrderedWorld(1)
 		w.commit(all)
@@ -348,7 +417,7 @@
 		x.change.Start(w.now, true, "test")
 		freed := false
 		for range 400 {
-			w.now = w.now.Add(20 * time.Millisecond)
+			w.pass(20 * time.Millisecond)
 			w.send(x, x.change.Tick(w.now))
 			for len(x.commands) > 0 {
 				freed = freed || x.commands[0].Action == ActionFree && x.commands[0].Upstream == "a"
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -199,8 +199,9 @@
 			return
 		}
 	}
-	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token)
-	l.feed(func(time.Time) { g.change.Drew(next.Token) })
+	contested := before.Holder != "" && before.Holder != next.Holder
+	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token, "contested", contested)
+	l.feed(func(now time.Time) { g.change.Drew(now, next.Token, contested) })
 }
 
 // drew reads whether a draw without an answer has taken effect.
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -336,6 +336,7 @@
 	g := l.group(name)
 	l.set(g, upstream, "promoted")
 	g.promoted = l.n.now()
+	g.change.Recovered(g.promoted, upstream)
 	delete(g.denied, upstream)
 	l.mu.Unlock()
 	l.n.wake()
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -57,6 +57,9 @@
 		g.acts = acting
 		l.n.log.Info("group: acting instance", "group", name, "acts", acting)
 	}
+	if !acting {
+		g.change.Abandon(l.n.now())
+	}
 	if !acting && g.change.Phase() == failover.PhaseIdle || len(s.groups[name]) == 0 {
 		return false
 	}
