--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -104,7 +104,7 @@
 func (l *leaders) group(name string) *group {
 	g := l.groups[name]
 	if g == nil {
-		g = &group{name: name, roles: make(map[string]bool), denied: make(map[string]uint64), change: failover.NewOrdered(), missing: l.n.now()}
+		g = &group{name: name, roles: make(map[string]bool), denied: make(map[string]uint64), change: failover.NewOrdered(), missing: l.n.now(), lastPhase: failover.PhaseIdle}
 		l.groups[name] = g
 	}
 	return g
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -144,6 +144,7 @@
 	if ok {
 		return grant, call.Reply{}
 	}
+	n.metrics.limit("refused")
 	n.log.Info("request: over the limit", "team", grant.Team.Name, "route", grant.Route.Name, "rate", grant.Team.Rate, "burst", grant.Team.Burst, "retry", retry)
 	n.metrics.count("burdockseam_refused_total{reason=\"limit\"}")
 	r := call.Refusal(call.Busy, "over the team's rate")
@@ -157,8 +158,10 @@
 	now := l.n.now()
 	if l.reserve.Take(now, team) {
 		l.mu.Unlock()
+		l.n.metrics.limit("reserve")
 		return 0, true
 	}
+	l.n.metrics.limit("asked")
 	d := l.holder.Take(now, team)
 	if d.Outcome != quota.Waiting {
 		own := l.reserve.Wait(now, team)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,3 +35,68 @@
 
 // count adds one to a counter.
 func (m *nodeMetrics) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
+
+// limit counts an operation by where its token came from: the reserve, or the owner, who
+// was asked and may have refused.
+func (m *nodeMetrics) limit(outcome string) {
+	m.count(fmt.Sprintf("burdockseam_limit_total{outcome=%q}", outcome))
+}
+
+// counted is a store that counts its calls by kind and outcome.
+type counted struct {
+	Store
+	m *nodeMetrics
+}
+
+func (c counted) note(call string, kind Kind, err error) {
+	outcome := "ok"
+	switch {
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrMissing), errors.Is(err, ErrHistory):
+		outcome = "refused"
+	case err != nil:
+		outcome = "failed"
+	}
+	c.m.count(fmt.Sprintf("burdockseam_store_calls_total{call=%q,kind=%q,outcome=%q}", call, kind, outcome))
+}
+
+// List implements Store.
+func (c counted) List(ctx context.Context, kind Kind) ([]Object, uint64, error) {
+	objects, revision, err := c.Store.List(ctx, kind)
+	c.note("list", kind, err)
+	return objects, revision, err
+}
+
+// Watch implements Store.
+func (c counted) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Event, uint64, error) {
+	events, revision, err := c.Store.Watch(ctx, kind, since, wait)
+	c.note("watch", kind, err)
+	return events, revision, err
+}
+
+// Get implements Store.
+func (c counted) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	o, err := c.Store.Get(ctx, kind, name)
+	c.note("get", kind, err)
+	return o, err
+}
+
+// Create implements Store.
+func (c counted) Create(ctx context.Context, kind Kind, o Object) (Object, error) {
+	o, err := c.Store.Create(ctx, kind, o)
+	c.note("create", kind, err)
+	return o, err
+}
+
+// Replace implements Store.
+func (c counted) Replace(ctx context.Context, kind Kind, o Object) (Object, error) {
+	o, err := c.Store.Replace(ctx, kind, o)
+	c.note("replace", kind, err)
+	return o, err
+}
+
+// Delete implements Store.
+func (c counted) Delete(ctx context.Context, kind Kind, name string) error {
+	err := c.Store.Delete(ctx, kind, name)
+	c.note("delete", kind, err)
+	return err
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -102,12 +102,13 @@
 		born: make(map[string]int64), unfit: make(map[string]time.Time),
 		change: make(chan struct{}),
 	}
+	n.platform.Store = counted{p.Store, n.metrics}
 	n.self = placement.Instance{
 		ID:      fmt.Sprintf("%s.%x", s.Name, rand.Uint64()),
 		Address: s.Peer, Domain: s.Domain, Region: s.Region(s.Domain),
 	}
 	n.snapshot.Store(&snapshot{instances: []placement.Instance{n.self}, running: 1})
-	n.tables = newTables(p.Store, log, n.now)
+	n.tables = newTables(n.platform.Store, log, n.now)
 	n.tables.changed = n.rebuild
 	n.tables.patience = n.patience
 	n.gateways = gateway.New(p.Dialer, log, n.now)
