Take changed limits over at a reload

Cause: found at the read-through: SIGHUP read the settings and dropped them, although the comment said that limits are taken over. Change: settings stand behind a pointer; limits and regions are replaced, addresses stay.

--- a/io/node/change.go
+++ b/io/node/change.go
@@ -87,7 +87,7 @@
 // order orders a promotion and tells the others about it.
 func (l *leaders) order(ctx context.Context, g *group, c failover.Command) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	response, err := l.n.platform.Promoter.Promote(call, g.name, c.Upstream, l.n.settings.Name, c.Token)
+	response, err := l.n.platform.Promoter.Promote(call, g.name, c.Upstream, l.n.settings().Name, c.Token)
 	cancel()
 	l.n.log.Info("group: promotion ordered", "group", g.name, "upstream", c.Upstream, "token", c.Token, "response", response, "err", text(err))
 	leader := ""
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -240,7 +240,7 @@
 // members tells the change who belongs to the group. The lock is held.
 func (l *leaders) members(g *group, s *snapshot) {
 	list := make([]failover.Candidate, 0, len(s.groups[g.name]))
-	home := l.n.settings.Place(l.n.self.Domain)
+	home := l.n.settings().Place(l.n.self.Domain)
 	for _, u := range s.groups[g.name] {
 		list = append(list, failover.Candidate{Upstream: u.Name, Unfit: !u.fit, Distance: home.Distance(u.place)})
 	}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -74,11 +74,11 @@
 	granted := make(map[string]config.Team, len(s.policy.Teams))
 	for name, t := range s.policy.Teams {
 		own[name] = t.Team
-		granted[name] = quota.OwnerPart(t.Team, s.running, l.n.settings.Spare*spareShare)
+		granted[name] = quota.OwnerPart(t.Team, s.running, l.n.settings().Spare*spareShare)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reserve.Configure(now, s.running, l.n.settings.Spare*spareShare, own)
+	l.reserve.Configure(now, s.running, l.n.settings().Spare*spareShare, own)
 	l.holder.Configure(now, granted)
 	l.owner.Configure(now, granted)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -63,7 +63,7 @@
 
 // Node is one running instance.
 type Node struct {
-	settings Settings
+	set      atomic.Pointer[Settings]
 	platform Platform
 	schema   Schema
 	log      logr.Logger
@@ -95,13 +95,14 @@
 // New opens the instance's addresses.
 func New(s Settings, p Platform, log logr.Logger) (*Node, error) {
 	n := &Node{
-		settings: s, platform: p, schema: p.Schema, log: log, now: boottime.Now,
+		platform: p, schema: p.Schema, log: log, now: boottime.Now,
 		metrics: newNodeMetrics(),
 		skipped: make(map[string]uint64), known: make(map[string]*knowledge),
 		remote: make(map[string]*remote), links: make(map[link]time.Time),
 		born: make(map[string]int64), unfit: make(map[string]time.Time),
 		change: make(chan struct{}),
 	}
+	n.set.Store(&s)
 	n.platform.Store = counted{p.Store, n.metrics}
 	n.self = placement.Instance{
 		ID:      fmt.Sprintf("%s.%x", s.Name, rand.Uint64()),
@@ -134,6 +135,9 @@
 	return n, nil
 }
 
+// settings returns the settings in force.
+func (n *Node) settings() *Settings { return n.set.Load() }
+
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.draining.Load() }
 
@@ -142,7 +146,7 @@
 
 // Serve serves until the context ends and then drains.
 func (n *Node) Serve(ctx context.Context) error {
-	n.log.Info("instance: started", "instance", n.self.ID, "domain", n.self.Domain, "callers", n.settings.Listen, "peer", n.settings.Peer)
+	n.log.Info("instance: started", "instance", n.self.ID, "domain", n.self.Domain, "callers", n.settings().Listen, "peer", n.settings().Peer)
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, base := errgroup.WithContext(base)
@@ -280,7 +284,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	o := Object{Name: n.settings.Name, Data: data}
+	o := Object{Name: n.settings().Name, Data: data}
 	present, err := n.platform.Store.Get(ctx, KindInstance, o.Name)
 	switch {
 	case errors.Is(err, ErrMissing):
@@ -315,13 +319,13 @@
 		}
 	}()
 	n.broadcast(ctx, "Node.Leave", LeaveNote{Address: n.self.Address})
-	for n.now().Sub(began) < min(offRotation, n.settings.Drain/2) {
+	for n.now().Sub(began) < min(offRotation, n.settings().Drain/2) {
 		wait(ctx, drainStep)
 		n.gateways.Leave()
 	}
 	n.callers.Drain()
 	n.limits.close()
-	for n.now().Sub(began) < n.settings.Drain-lastMoment {
+	for n.now().Sub(began) < n.settings().Drain-lastMoment {
 		if open, _ = n.callers.Sessions(); open == 0 && n.gateways.Open() == 0 {
 			break
 		}
@@ -338,13 +342,21 @@
 	return code
 }
 
-// Reload reads the settings again. Only what can change while the instance runs is taken
-// over: bounds, and the regions of failure domains. Broken settings change nothing.
+// Reload reads the settings again and takes over the limits and the regions. The name,
+// the failure domain and the addresses stay those of the start. Broken settings change
+// nothing.
 func (n *Node) Reload(path string) {
 	s, err := ReadSettings(path)
 	if err != nil {
 		n.log.Error(err, "settings: not reloaded")
 		return
 	}
-	n.log.Info("settings: reloaded", "changed", s.Listen != n.settings.Listen || s.Peer != n.settings.Peer)
+	before := n.settings()
+	fixed := s.Name != before.Name || s.Domain != before.Domain || s.Listen != before.Listen || s.Peer != before.Peer ||
+		s.Operator != before.Operator || s.Store != before.Store || s.Promoter != before.Promoter
+	s.Name, s.Domain, s.Listen, s.Peer, s.Operator = before.Name, before.Domain, before.Listen, before.Peer, before.Operator
+	s.Store, s.Promoter, s.Seeds, s.Callers = before.Store, before.Promoter, before.Seeds, before.Callers
+	n.set.Store(&s)
+	n.rebuild(KindInstance)
+	n.log.Info("settings: reloaded", "ignored", fixed)
 }
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -340,7 +340,7 @@
 // ask again within half of the time in which a change must be in force. Waits differ, so
 // that not all watches of the fleet end at the same time.
 func (n *Node) patience(k Kind) (pause, most time.Duration) {
-	bound := map[Kind]time.Duration{KindPolicy: n.settings.Apply, KindOut: n.settings.Evacuate, KindUpstream: n.settings.Leave}[k]
+	bound := map[Kind]time.Duration{KindPolicy: n.settings().Apply, KindOut: n.settings().Evacuate, KindUpstream: n.settings().Leave}[k]
 	large := len(n.snapshot.Load().instances) > pingAll
 	switch watches := n.watches(); {
 	case large && !watches:
@@ -367,7 +367,7 @@
 func (n *Node) askAnyone(ctx context.Context) {
 	addresses := n.others()
 	if len(addresses) == 0 {
-		addresses = n.settings.Seeds
+		addresses = n.settings().Seeds
 	}
 	if len(addresses) == 0 {
 		return
@@ -469,7 +469,7 @@
 // isolated reports whether neither the store nor any other instance has answered for so
 // long that a withdrawn key could still be accepted here.
 func (n *Node) isolated() bool {
-	limit := n.settings.Apply + n.settings.Outage
+	limit := n.settings().Apply + n.settings().Outage
 	if n.tables.silent() < limit {
 		return false
 	}
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -260,9 +260,9 @@
 // graceful reports whether an upstream that leaves, or whose failure domain is out, may
 // still start work: the primary may until its planned change must be over.
 func (n *Node) graceful(snap *snapshot, u *upstream, now time.Time) bool {
-	bound := n.settings.Leave
+	bound := n.settings().Leave
 	if snap.out[u.Domain] {
-		bound = n.settings.Evacuate
+		bound = n.settings().Evacuate
 	}
 	since, ok := n.unfit[u.Name]
 	return ok && n.leaders.leads(u.Group, u.Name) && now.Sub(since) < bound-noticeMargin
@@ -273,7 +273,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	since, ok := n.unfit[u.Name]
-	return ok && n.snapshot.Load().out[u.Domain] && now.Sub(since) >= n.settings.Evacuate-noticeMargin/3
+	return ok && n.snapshot.Load().out[u.Domain] && now.Sub(since) >= n.settings().Evacuate-noticeMargin/3
 }
 
 // cost estimates the time until an upstream answers a read. The lock is held.
@@ -284,7 +284,7 @@
 		load = max(load, k.load)
 	}
 	cost := meanWork * time.Duration(load+1) / time.Duration(max(1, u.Slots))
-	switch n.settings.Place(n.self.Domain).Distance(u.place) {
+	switch n.settings().Place(n.self.Domain).Distance(u.place) {
 	case 1:
 		cost += domainTrip
 	case 2:
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -101,7 +101,7 @@
 		}
 		e.Connections = s.policy.Groups[e.Group].Connections
 		u := &upstream{
-			Entry: e, changed: o.Revision, place: n.settings.Place(e.Domain),
+			Entry: e, changed: o.Revision, place: n.settings().Place(e.Domain),
 			fit: e.State == config.StateActive && !s.out[e.Domain],
 		}
 		s.upstreams[e.Name] = u
@@ -134,7 +134,7 @@
 		s.objects[m.Address] = o.Name
 		if !m.Leaving {
 			s.instances = append(s.instances, placement.Instance{
-				ID: m.ID, Address: m.Address, Domain: m.Domain, Region: n.settings.Region(m.Domain),
+				ID: m.ID, Address: m.Address, Domain: m.Domain, Region: n.settings().Region(m.Domain),
 			})
 		}
 	}
--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -134,7 +134,7 @@
 func TestSnapshot(t *testing.T) {
 	now := time.Unix(0, 0)
 	n := &Node{schema: testSchema{}, log: logr.Discard(), skipped: make(map[string]uint64)}
-	n.settings.Regions = map[string]string{"d1": "r1", "d2": "r1"}
+	n.set.Store(&Settings{Regions: map[string]string{"d1": "r1", "d2": "r1"}})
 	n.self.Address = "self"
 	n.tables, _ = newTestTables(&now)
 	objects := func(k Kind, revision uint64, data map[string]string) {
