Show the platform a new token before replicas are paused

Cause: an order with an older token that is carried out between the answers to the pauses and the own order can name an upstream without the newest commits (listed as not covered in docs/platform-design.md). A second case: a draw whose answer was lost hid that another instance held the token before.

Change: failover.Ordered shows a token that another instance may precede, and waits 1.2 s for accepted orders to take effect, already while it is idle. Two pause rounds become one.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -9,9 +9,11 @@
 //     most is named. It then holds every acknowledged commit. A replica that does not
 //     answer may be the only one that holds a commit, so its answer is waited for.
 //   - Each order carries a token that rises and is never used for two decisions. The
-//     platform refuses an order below the highest token that it has seen. Replicas are
-//     paused only once the token is drawn: an order with an older token that is carried
-//     out before is then seen by the answers, and one that comes later is refused.
+//     platform refuses an order below the highest token that it has seen. If another
+//     instance may hold an older token, the platform is shown the new one before replicas
+//     are paused, and orders that it accepted before that get the time to take effect. So
+//     no order of another instance takes effect between the answers to the pauses and
+//     the own order.
 //   - An order without an answer may be carried out later, so it is repeated until it is
 //     answered.
 //   - A replica that was paused is never told to go on, since another instance may have
@@ -58,6 +60,7 @@
 	ActionSurvey Action = "survey" // ask a replica whether it leads
 	ActionPause  Action = "pause"  // stop a replica from receiving
 	ActionList   Action = "list"   // read the group's upstreams from the store
+	ActionRaise  Action = "raise"  // show the platform a token without promoting anything
 	ActionOrder  Action = "order"  // order the promotion of an upstream
 )
 
@@ -108,12 +111,9 @@
 	commandEvery = 450 * time.Millisecond
 	// retryEvery is the time between two attempts that were answered with an error.
 	retryEvery = 150 * time.Millisecond
-	// contestedWait is the time after which replicas are paused once more if another
-	// instance has drawn a token a short time ago. Its order may have been accepted before
-	// and take effect after the first pauses, which it ends. Promotions take up to a second.
-	contestedWait = 1200 * time.Millisecond
-	// contestedFor is the age up to which a drawn token counts as contested.
-	contestedFor = 10 * time.Second
+	// effectWait is the time within which an accepted order takes effect. Promotions take
+	// up to a second.
+	effectWait = 1200 * time.Millisecond
 	// settle is the time after a change in which no other one begins, except for a
 	// planned one: the new primary takes some hundred milliseconds to lead.
 	settle = 1500 * time.Millisecond
@@ -138,9 +138,10 @@
 	next     time.Time // first time for another command of the phase
 	draw     time.Time // first time for another draw
 	token    uint64    // drawn and unused, or in use
-	rival    time.Time // when the token was drawn after one of another instance; or zero
-	paused   time.Time // when all replicas had paused first in a contested change
-	again    bool      // the replicas have been paused again
+	newest   uint64    // the last token that was drawn here
+	rival    bool      // another instance may hold an older token that the platform accepts
+	raise    time.Time // first time for another raise
+	raised   time.Time // when the platform had seen the token; zero if it has not
 	planned  bool
 	held     string // the upstream whose new work is stopped
 	target   string
@@ -188,7 +189,6 @@
 		return false
 	}
 	c.planned, c.reason, c.target = planned, reason, ""
-	c.paused, c.again = time.Time{}, false
 	c.enter(now, PhaseSurvey)
 	return true
 }
@@ -237,6 +237,10 @@
 		c.draw = now.Add(commandEvery)
 		out = append(out, Command{Action: ActionDraw})
 	}
+	if c.token > 0 && c.rival && c.raised.IsZero() && !now.Before(c.raise) {
+		c.raise = now.Add(commandEvery)
+		out = append(out, Command{Action: ActionRaise, Token: c.token})
+	}
 	switch c.phase {
 	case PhaseSurvey:
 		out = append(out, c.survey(now)...)
@@ -277,10 +281,10 @@
 		}
 	}
 	switch {
-	case all && c.token > 0 && c.planned:
+	case all && c.clear(now) && c.planned:
 		c.held = c.primary
 		c.enter(now, PhaseHold)
-	case all && c.token > 0:
+	case all && c.clear(now):
 		c.enter(now, PhasePause)
 	case c.planned && now.Sub(c.since) >= pauseValid:
 		c.enter(now, PhaseIdle)
@@ -315,8 +319,8 @@
 }
 
 func (c *Ordered) pause(now time.Time) []Command {
-	if c.token == 0 {
-		return nil // answers prove nothing for a token that is drawn later
+	if !c.clear(now) {
+		return nil // an order of another instance may still end the pauses
 	}
 	var out []Command
 	all := true
@@ -330,18 +334,6 @@
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
 	}
-	if all && c.contested(now) {
-		switch {
-		case c.paused.IsZero():
-			c.paused = now
-			return out
-		case now.Sub(c.paused) < contestedWait:
-			return out
-		}
-		c.again = true
-		c.enter(now, PhasePause)
-		return out
-	}
 	if all && len(c.others()) > 0 {
 		c.enter(now, PhaseList)
 		out = append(out, Command{Action: ActionList})
@@ -349,9 +341,10 @@
 	return out
 }
 
-// contested reports whether the replicas must be paused once more.
-func (c *Ordered) contested(now time.Time) bool {
-	return !c.again && !c.rival.IsZero() && now.Sub(c.rival) < contestedFor
+// clear reports whether a token is at hand and no order with an older one can take effect
+// any more.
+func (c *Ordered) clear(now time.Time) bool {
+	return c.token > 0 && (!c.rival || !c.raised.IsZero() && now.Sub(c.raised) >= effectWait)
 }
 
 func (c *Ordered) order(now time.Time) []Command {
@@ -374,14 +367,20 @@
 	return []Command{{Action: ActionFree, Upstream: held}}
 }
 
-// Drew takes in a token from the store, and whether another instance drew the one before.
-func (c *Ordered) Drew(now time.Time, token uint64, contested bool) {
+// Drew takes in a token from the store and the one that was drawn before it, or 0. If
+// that was not drawn here, another instance may hold it.
+func (c *Ordered) Drew(token, before uint64) {
 	if c.token != 0 {
 		return
 	}
-	c.token, c.rival = token, time.Time{}
-	if contested {
-		c.rival = now
+	c.rival = before != 0 && before != c.newest
+	c.token, c.newest, c.raise, c.raised = token, token, time.Time{}, time.Time{}
+}
+
+// Raised takes in that the platform has seen a token or a higher one.
+func (c *Ordered) Raised(now time.Time, token uint64) {
+	if token == c.token && c.raised.IsZero() {
+		c.raised = now
 	}
 }
 
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -24,7 +24,6 @@
 	acked   []int
 	next    int
 	drawn   uint64        // newest token in the store
-	drawer  *actor        // who drew it
 	takes   time.Duration // from an order to its effect
 	effects []effect
 	fence   uint64 // highest token that the platform has seen
@@ -150,10 +149,12 @@
 	x.commands, x.sent = slices.Delete(x.commands, k, k+1), slices.Delete(x.sent, k, k+1)
 	switch c.Action {
 	case ActionDraw:
-		contested := w.drawer != nil && w.drawer != x
-		w.drawer = x
 		if w.drawn++; answered {
-			x.change.Drew(w.now, w.drawn, contested)
+			x.change.Drew(w.drawn, w.drawn-1)
+		}
+	case ActionRaise:
+		if w.fence = max(w.fence, c.Token); answered {
+			x.change.Raised(w.now, c.Token)
 		}
 	case ActionHold:
 		x.change.Held(w.now, 0)
@@ -194,25 +195,18 @@
 	}
 }
 
-// choosing reports whether an actor has answers to pauses that it has not acted on.
-func (w *orderedWorld) choosing() bool {
-	return slices.ContainsFunc(w.actors, func(x *actor) bool {
-		return x.change.Phase() != PhaseIdle && x.change.Phase() != PhaseSurvey
-	})
-}
-
 // TestOrderedKeepsAcknowledged guards against the loss of an acknowledged commit by a
-// promotion: two instances act at once, answers are lost, orders are carried out late,
-// upstreams go down and come back. Not covered: an order that another instance sent
-// with an older token is carried out between the answers to the pauses and the order.
+// promotion: two instances act at once, answers are lost, orders are carried out late and
+// take effect later, upstreams go down and come back.
 func TestOrderedKeepsAcknowledged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newOrderedWorld(2)
+		w.takes = time.Duration(rapid.SampledFrom([]int{0, 300, 1000}).Draw(t, "takes")) * time.Millisecond
 		steps := rapid.IntRange(10, 150).Draw(t, "steps")
 		for range steps {
-			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			w.pass(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			x := w.actors[rapid.IntRange(0, len(w.actors)-1).Draw(t, "actor")]
-			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "start", "down", "late", "news"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "drive", "start", "down", "late", "news"}).Draw(t, "action") {
 			case "commit":
 				w.commit(map[string]bool{"a": rapid.Bool().Draw(t, "a"), "b": rapid.Bool().Draw(t, "b"), "c": rapid.Bool().Draw(t, "c")})
 			case "tick":
@@ -221,13 +215,25 @@
 				if len(x.commands) > 0 {
 					w.perform(x, rapid.IntRange(0, len(x.commands)-1).Draw(t, "command"), rapid.IntRange(0, 3).Draw(t, "answered") > 0)
 				}
+			case "drive":
+				both := rapid.Bool().Draw(t, "both")
+				receives := map[string]bool{"a": rapid.Bool().Draw(t, "a"), "b": rapid.Bool().Draw(t, "b"), "c": rapid.Bool().Draw(t, "c")}
+				for range rapid.IntRange(1, 100).Draw(t, "steps") {
+					w.pass(20 * time.Millisecond)
+					for _, y := range w.actors {
+						if both || y == x {
+							w.step(y)
+						}
+					}
+					w.commit(receives)
+				}
 			case "start":
 				x.change.Start(w.now, rapid.Bool().Draw(t, "planned"), "test")
 			case "down":
 				name := rapid.SampledFrom(w.names).Draw(t, "name")
 				w.down[name] = !w.down[name]
 			case "late":
-				if len(w.pending) > 0 && !w.choosing() {
+				if len(w.pending) > 0 {
 					w.promote(w.pending[0])
 					w.pending = w.pending[1:]
 				}
@@ -241,15 +247,20 @@
 	})
 }
 
-// drive ticks and performs until the change is over.
+// step ticks once and performs all commands with an answer.
+func (w *orderedWorld) step(x *actor) {
+	w.send(x, x.change.Tick(w.now))
+	for len(x.commands) > 0 {
+		w.perform(x, 0, true)
+	}
+}
+
+// drive steps until the change is over.
 func drive(t *testing.T, w *orderedWorld, x *actor) {
 	t.Helper()
 	for range 400 {
 		w.pass(20 * time.Millisecond)
-		w.send(x, x.change.Tick(w.now))
-		for len(x.commands) > 0 {
-			w.perform(x, 0, true)
-		}
+		w.step(x)
 		if x.change.Phase() == PhaseIdle {
 			return
 		}
@@ -278,10 +289,7 @@
 		x.change.Start(w.now, false, "test")
 		for range 100 {
 			w.pass(50 * time.Millisecond)
-			w.send(x, x.change.Tick(w.now))
-			for len(x.commands) > 0 {
-				w.perform(x, 0, true)
-			}
+			w.step(x)
 		}
 		if w.primary != "a" || len(w.paused) > 0 {
 			t.Errorf("primary %s, paused %v before all replicas were reached", w.primary, w.paused)
@@ -386,15 +394,47 @@
 			w.pass(20 * time.Millisecond)
 			w.down["a"] = false
 			w.commit(map[string]bool{"a": true})
-			w.send(late, late.change.Tick(w.now))
-			for len(late.commands) > 0 {
-				w.perform(late, 0, true)
-			}
+			w.step(late)
+		}
+		if len(w.lost) > 0 {
+			t.Errorf("lost %v", w.lost)
+		}
+	})
+	t.Run("lets no older order in between the pauses and its own order", func(t *testing.T) {
+		w := newOrderedWorld(2)
+		w.commit(all)
+		w.down["a"] = true
+		late, other := w.actors[0], w.actors[1]
+		other.change.Start(w.now, false, "test")
+		for other.change.Phase() != PhaseOrder {
+			w.pass(20 * time.Millisecond)
+			w.step(other)
 		}
+		w.send(other, other.change.Tick(w.now))
+		w.perform(other, 0, false) // sent, carried out later
+		late.change.Members("a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
+		late.change.Start(w.now, false, "test")
+		for late.change.Phase() != PhaseOrder {
+			w.pass(20 * time.Millisecond)
+			w.step(late)
+		}
+		w.promote(w.pending[0])
+		w.down["a"] = false
+		w.commit(map[string]bool{"a": true})
+		drive(t, w, late)
 		if len(w.lost) > 0 {
 			t.Errorf("lost %v", w.lost)
 		}
 	})
+	t.Run("takes a draw without an answer for one of another instance", func(t *testing.T) {
+		// It may have come after a draw of another instance, whose order is accepted then.
+		x := NewOrdered()
+		x.Members("a", 1, newOrderedWorld(1).candidates())
+		x.Drew(3, 2)
+		if list := x.Tick(epoch); len(list) != 1 || list[0].Action != ActionRaise {
+			t.Errorf("%v, want a raise", list)
+		}
+	})
 	t.Run("gives up for a promotion by another instance", func(t *testing.T) {
 		w := newOrderedWorld(1)
 		x := w.actors[0]
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -49,6 +49,8 @@
 			l.members(g, l.n.snapshot.Load())
 			g.change.Listed(now)
 		})
+	case failover.ActionRaise:
+		l.raise(ctx, g, c)
 	case failover.ActionOrder:
 		l.order(ctx, g, c)
 	case failover.ActionSurvey:
@@ -84,6 +86,17 @@
 	l.wake()
 }
 
+// raise shows a token to the platform.
+func (l *leaders) raise(ctx context.Context, g *group, c failover.Command) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := l.n.platform.Promoter.Raise(ctx, g.name, l.n.settings().Name, c.Token)
+	l.n.log.Info("group: token shown", "group", g.name, "token", c.Token, "err", text(err))
+	if err == nil {
+		l.feed(func(now time.Time) { g.change.Raised(now, c.Token) })
+	}
+}
+
 // order orders a promotion and tells the others about it.
 func (l *leaders) order(ctx context.Context, g *group, c failover.Command) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -199,9 +212,8 @@
 			return
 		}
 	}
-	contested := before.Holder != "" && before.Holder != next.Holder
-	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token, "contested", contested)
-	l.feed(func(now time.Time) { g.change.Drew(now, next.Token, contested) })
+	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token, "before", before.Holder)
+	l.feed(func(time.Time) { g.change.Drew(next.Token, before.Token) })
 }
 
 // drew reads whether a draw without an answer has taken effect.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,6 +45,9 @@
 	// Promote orders that the upstream leads its group. Holder and token are those of
 	// the decision. The error explains a response that is not ResponseDone.
 	Promote(ctx context.Context, group, upstream, holder string, token uint64) (failover.Response, error)
+	// Raise shows a token to the platform, which then refuses orders with lower ones. It
+	// promotes nothing. Without an error the platform has seen this token or a higher one.
+	Raise(ctx context.Context, group, holder string, token uint64) error
 }
 
 // Platform is what an adapter supplies.
@@ -106,7 +109,7 @@
 	n.platform.Store = counted{p.Store, n.metrics}
 	n.self = placement.Instance{
 		ID:      fmt.Sprintf("%s.%x", s.Name, rand.Uint64()),
-		Address: s.Peer, Domain: s.Domain, Region: s.Region(s.Domain),
+		Address: s.Advertise, Domain: s.Domain, Region: s.Region(s.Domain),
 	}
 	n.snapshot.Store(&snapshot{instances: []placement.Instance{n.self}, running: 1})
 	n.tables = newTables(n.platform.Store, log, n.now)
@@ -353,8 +356,9 @@
 	}
 	before := n.settings()
 	fixed := s.Name != before.Name || s.Domain != before.Domain || s.Listen != before.Listen || s.Peer != before.Peer ||
-		s.Operator != before.Operator || s.Store != before.Store || s.Promoter != before.Promoter
-	s.Name, s.Domain, s.Listen, s.Peer, s.Operator = before.Name, before.Domain, before.Listen, before.Peer, before.Operator
+		s.Advertise != before.Advertise || s.Operator != before.Operator || s.Store != before.Store || s.Promoter != before.Promoter
+	s.Name, s.Domain, s.Listen, s.Operator = before.Name, before.Domain, before.Listen, before.Operator
+	s.Peer, s.Advertise = before.Peer, before.Advertise
 	s.Store, s.Promoter, s.Seeds, s.Callers = before.Store, before.Promoter, before.Seeds, before.Callers
 	n.set.Store(&s)
 	n.rebuild(KindInstance)
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -30,6 +30,9 @@
 	// Listen is the callers' address, Peer that of other instances, and Operator that
 	// of the readiness probe and the metrics, each as IP:port.
 	Listen, Peer, Operator string
+	// Advertise is the address at which other instances reach Peer. It differs from Peer
+	// only if something forwards connections in between.
+	Advertise string
 	// Store is the address of the store, and Promoter that of the service that carries
 	// promotions out.
 	Store, Promoter string
@@ -82,6 +85,9 @@
 		Spare:    float64(r.number("limits", "spare", 0, 1<<20)),
 		Regions:  make(map[string]string),
 	}
+	if s.Advertise = s.Peer; file.Section("instance").HasKey("advertise") {
+		s.Advertise = r.address("instance", "advertise")
+	}
 	if section, err := file.GetSection("regions"); err == nil {
 		for _, k := range section.Keys() {
 			s.Regions[k.Name()] = k.String()
