--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -114,8 +114,9 @@
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
-	// settle is the time after a change in which no other one begins, except for a
-	// planned one: the new primary takes some hundred milliseconds to lead.
+	// settle is the time after a change in which no other one begins. It is above
+	// effectWait, since the own order must have taken effect before replicas are paused
+	// again (NO_SETTLE in spec/ordered.pml).
 	settle = 1500 * time.Millisecond
 )
 
@@ -185,7 +186,7 @@
 
 // Start begins a change of the primary, unless one is under way or just over.
 func (c *Ordered) Start(now time.Time, planned bool, reason string) bool {
-	if c.phase != PhaseIdle || !planned && now.Sub(c.done) < settle || len(c.replicas) < 2 || planned && !c.movable() {
+	if c.phase != PhaseIdle || now.Sub(c.done) < settle || len(c.replicas) < 2 || planned && !c.movable() {
 		return false
 	}
 	c.planned, c.reason, c.target = planned, reason, ""
