Let one of two duelling promotions through; fewer store calls and pings

Now an instance whose order was refused waits a random time up to 4 s before it shows its next token, and one that does not act any more leaves a refused change to the other. A directed test fails without it.

Now looks take a copy that may be old, the lease is read only when no renewal was heard of, its change is told to all, and in large fleets watchers ping the gateways and tell the others which are silent.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -26,6 +26,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -114,6 +115,10 @@
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
+	// duelPause bounds the random time by which an instance lets another one go first whose
+	// order has made its own refused. It is a few times effectWait, so that one of two
+	// that order against each other gets through.
+	duelPause = 4 * time.Second
 	// settle is the time after a change in which no other one begins. It is above
 	// effectWait, since the own order must have taken effect before replicas are paused
 	// again (NO_SETTLE in spec/ordered.pml).
@@ -141,6 +146,8 @@
 	token    uint64    // drawn and unused, or in use
 	newest   uint64    // the last token that was drawn here
 	rival    bool      // another instance may hold an older token that the platform accepts
+	refused  bool      // the last order was refused
+	random   *rand.Rand
 	raise    time.Time // first time for another raise
 	raised   time.Time // when the platform had seen the token; zero if it has not
 	planned  bool
@@ -150,8 +157,11 @@
 	reason   string
 }
 
-// NewOrdered returns an Ordered for a group about which nothing is known.
-func NewOrdered() *Ordered { return &Ordered{phase: PhaseIdle} }
+// NewOrdered returns an Ordered for a group about which nothing is known. The seed is for
+// the times by which it lets others go first.
+func NewOrdered(seed uint64) *Ordered {
+	return &Ordered{phase: PhaseIdle, random: rand.New(rand.NewPCG(seed, 0))}
+}
 
 // Phase returns what it is doing.
 func (c *Ordered) Phase() Phase { return c.phase }
@@ -189,7 +199,7 @@
 	if c.phase != PhaseIdle || now.Sub(c.done) < settle || len(c.replicas) < 2 || planned && !c.movable() {
 		return false
 	}
-	c.planned, c.reason, c.target = planned, reason, ""
+	c.planned, c.reason, c.target, c.refused = planned, reason, "", false
 	c.enter(now, PhaseSurvey)
 	return true
 }
@@ -223,12 +233,18 @@
 	}
 }
 
-// Abandon gives up a change that has paused no replica yet, for an instance that does
-// not act for the group any more.
-func (c *Ordered) Abandon(now time.Time) {
-	if c.phase == PhaseSurvey {
+// Abandon gives up a change for an instance that does not act for the group any more,
+// unless it has paused a replica. If its order was refused, another instance has ordered
+// and carries that through, so that the change is given up then, too.
+func (c *Ordered) Abandon(now time.Time) []Command {
+	switch {
+	case c.phase == PhaseSurvey:
 		c.enter(now, PhaseIdle)
+	case c.phase == PhasePause && c.refused:
+		c.enter(now, PhaseIdle)
+		return c.free()
 	}
+	return nil
 }
 
 // Tick returns the commands that are due.
@@ -360,6 +376,11 @@
 func (c *Ordered) finish(now time.Time) []Command {
 	c.enter(now, PhaseIdle)
 	c.token, c.draw = 0, now
+	return c.free()
+}
+
+// free lets the old primary go on if it was stopped.
+func (c *Ordered) free() []Command {
 	if c.held == "" {
 		return nil
 	}
@@ -370,12 +391,15 @@
 
 // Drew takes in a token from the store and the one that was drawn before it, or 0. If
 // that was not drawn here, another instance may hold it.
-func (c *Ordered) Drew(token, before uint64) {
+func (c *Ordered) Drew(now time.Time, token, before uint64) {
 	if c.token != 0 {
 		return
 	}
 	c.rival = before != 0 && before != c.newest
-	c.token, c.newest, c.raise, c.raised = token, token, time.Time{}, time.Time{}
+	c.token, c.newest, c.raise, c.raised = token, token, now, time.Time{}
+	if c.rival && c.refused {
+		c.raise = now.Add(time.Duration(c.random.Int64N(int64(duelPause))))
+	}
 }
 
 // Raised takes in that the platform has seen a token or a higher one.
@@ -476,7 +500,7 @@
 	case ResponseRefused:
 		// A refused token is never used again. The replicas are looked at anew, since the
 		// chosen one may have ended, or another instance may have promoted one.
-		c.token, c.draw = 0, now
+		c.token, c.draw, c.refused = 0, now, true
 		c.enter(now, PhasePause)
 	case ResponseDone:
 		c.primary, c.done = c.target, now
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -60,7 +60,7 @@
 		paused: make(map[string]bool), down: make(map[string]bool), primary: "a", term: 1,
 	}
 	for range actors {
-		x := &actor{change: NewOrdered()}
+		x := &actor{change: NewOrdered(uint64(len(w.actors)))}
 		x.change.Members("a", 1, w.candidates())
 		w.actors = append(w.actors, x)
 	}
@@ -150,7 +150,7 @@
 	switch c.Action {
 	case ActionDraw:
 		if w.drawn++; answered {
-			x.change.Drew(w.drawn, w.drawn-1)
+			x.change.Drew(w.now, w.drawn, w.drawn-1)
 		}
 	case ActionRaise:
 		if w.fence = max(w.fence, c.Token); answered {
@@ -426,11 +426,45 @@
 			t.Errorf("lost %v", w.lost)
 		}
 	})
+	t.Run("two instances that order against each other come to an end", func(t *testing.T) {
+		// As with seed 1007 of the soak: each showed its token while the other waited.
+		w := newOrderedWorld(2)
+		w.commit(all)
+		w.down["a"] = true
+		for _, x := range w.actors {
+			x.change.Start(w.now, false, "test")
+		}
+		for range 1500 {
+			w.pass(20 * time.Millisecond)
+			for _, x := range w.actors {
+				w.step(x)
+			}
+		}
+		if w.primary == "a" || len(w.lost) > 0 {
+			t.Errorf("primary %s, lost %v, token %d", w.primary, w.lost, w.drawn)
+		}
+	})
+	t.Run("leaves a refused change to the instance that acts now", func(t *testing.T) {
+		w := newOrderedWorld(1)
+		w.down["a"] = true
+		w.fence = 7
+		x := w.actors[0]
+		x.change.Start(w.now, true, "test")
+		for x.change.Phase() != PhaseOrder {
+			w.pass(20 * time.Millisecond)
+			w.down["a"] = false
+			w.step(x)
+		}
+		w.step(x)
+		if list := x.change.Abandon(w.now); x.change.Phase() != PhaseIdle || len(list) != 1 || list[0].Action != ActionFree {
+			t.Errorf("phase %s, commands %v", x.change.Phase(), list)
+		}
+	})
 	t.Run("takes a draw without an answer for one of another instance", func(t *testing.T) {
 		// It may have come after a draw of another instance, whose order is accepted then.
-		x := NewOrdered()
+		x := NewOrdered(1)
 		x.Members("a", 1, newOrderedWorld(1).candidates())
-		x.Drew(3, 2)
+		x.Drew(epoch, 3, 2)
 		if list := x.Tick(epoch); len(list) != 1 || list[0].Action != ActionRaise {
 			t.Errorf("%v, want a raise", list)
 		}
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -148,16 +148,9 @@
 func (l *leaders) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pauseTimeout)
 	defer cancel()
-	objects, revision, err := l.n.platform.Store.List(ctx, KindUpstream)
-	if err != nil {
+	if err := l.n.tables.list(ctx, KindUpstream, l.n.platform.Store.List); err != nil {
 		l.n.log.Info("group: registry not read before the order", "err", err.Error())
-		return
-	}
-	t := Table{Kind: KindUpstream, Revision: revision, Objects: make(map[string]Object, len(objects))}
-	for _, o := range objects {
-		t.Objects[o.Name] = o
 	}
-	l.n.tables.install(t)
 }
 
 // token is the content of the object from which a group's tokens are drawn.
@@ -213,7 +206,7 @@
 		}
 	}
 	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token, "before", before.Holder)
-	l.feed(func(time.Time) { g.change.Drew(next.Token, before.Token) })
+	l.feed(func(now time.Time) { g.change.Drew(now, next.Token, before.Token) })
 }
 
 // drew reads whether a draw without an answer has taken effect.
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -104,7 +105,7 @@
 func (l *leaders) group(name string) *group {
 	g := l.groups[name]
 	if g == nil {
-		g = &group{name: name, roles: make(map[string]bool), denied: make(map[string]uint64), change: failover.NewOrdered(), missing: l.n.now(), lastPhase: failover.PhaseIdle}
+		g = &group{name: name, roles: make(map[string]bool), denied: make(map[string]uint64), change: failover.NewOrdered(rand.Uint64()), missing: l.n.now(), lastPhase: failover.PhaseIdle}
 		l.groups[name] = g
 	}
 	return g
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,8 +31,16 @@
 	grantWait = 100 * time.Millisecond
 	// grantTimeout bounds the exchange with the owner.
 	grantTimeout = 300 * time.Millisecond
+	// ownerWait replaces grantWait while the owner changes, which takes about a second. An
+	// operation waits for half of its target latency at most.
+	ownerWait = 400 * time.Millisecond
+	// ownerChange is the time after a change of the owner for which that counts.
+	ownerChange = time.Second
 	// leaseLook is the time between two looks at the lease of an instance that may take it.
 	leaseLook = time.Second
+	// leaseDoubt is the time without news of a renewal after which an instance that may
+	// take the lease looks at it: two renewals and a ping.
+	leaseDoubt = 3500 * time.Millisecond
 	// leaseName is the name of the object that holds the lease.
 	leaseName = "limits"
 	// standbys is the number of instances that may take the lease.
@@ -55,7 +64,11 @@
 	looked  time.Time
 	looking bool
 	owned   lease.SoleRecord // the newest lease known, also from others
+	learned time.Time        // when owned became known
+	changed time.Time        // when the owner changed last
 	ended   string           // a holder that is known to have ended
+	ranked  *snapshot        // for which first was worked out
+	first   bool             // this instance is one of those that may take the lease
 }
 
 func newLimits(n *Node) *limits {
@@ -92,7 +105,11 @@
 			return
 		}
 	}
-	l.lease.Observe(now, r, o.Revision)
+	at := now
+	if r == l.owned && !l.learned.IsZero() {
+		at = l.learned // it was written before
+	}
+	l.lease.Observe(at, r, o.Revision)
 	l.follow(now, l.lease.Record())
 }
 
@@ -103,8 +120,9 @@
 	}
 	if r.Holder != l.owned.Holder {
 		l.n.log.Info("limit: owner", "owner", r.Holder, "epoch", r.Epoch, "before", l.owned.Holder)
+		l.changed = now
 	}
-	l.owned = r
+	l.owned, l.learned = r, now
 	if r.Holder != "" {
 		l.holder.SetOwner(now, shard, r.Holder, r.Epoch)
 	}
@@ -140,7 +158,7 @@
 		r.Retry = leaderRetry
 		return grant, r
 	}
-	retry, ok := n.limits.take(ctx, grant.Team.Name)
+	retry, ok := n.limits.take(ctx, grant.Team.Name, grant.Route.Target/2)
 	if ok {
 		return grant, call.Reply{}
 	}
@@ -152,8 +170,9 @@
 	return grant, r
 }
 
-// take takes a token for an operation.
-func (l *limits) take(ctx context.Context, team string) (retry time.Duration, ok bool) {
+// take takes a token for an operation, which waits for the given time at most. Otherwise
+// it returns the time after which another try is worth it.
+func (l *limits) take(ctx context.Context, team string, most time.Duration) (retry time.Duration, ok bool) {
 	l.mu.Lock()
 	now := l.n.now()
 	if l.reserve.Take(now, team) {
@@ -174,11 +193,15 @@
 	}
 	decided := make(chan bool, 1)
 	l.waiting[d.Ticket] = decided
+	wait := grantWait
+	if l.owned.Holder == "" || now.Sub(l.changed) < ownerChange || l.holder.Silent(now, shard) {
+		wait = min(ownerWait, most)
+	}
 	l.mu.Unlock()
 	if d.Poll {
 		l.tick(ctx)
 	}
-	timer := time.NewTimer(grantWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case ok := <-decided:
@@ -191,7 +214,7 @@
 	delete(l.waiting, d.Ticket)
 	if l.holder.Cancel(team, d.Ticket) {
 		now := l.n.now()
-		return max(limitTick, l.reserve.Wait(now, team)), l.reserve.Take(now, team)
+		return max(limitTick, min(ownerWait, l.reserve.Wait(now, team))), l.reserve.Take(now, team)
 	}
 	return limitTick, <-decided
 }
@@ -264,6 +287,9 @@
 	if err == nil {
 		_, err = l.n.platform.Store.Replace(ctx, KindLease, Object{Name: leaseName, Revision: revision, Data: data})
 	}
+	if err == nil {
+		l.n.broadcast(context.Background(), "Node.Owner", OwnerNote{r})
+	}
 	l.n.log.Info("limit: lease released", "epoch", r.Epoch, "err", text(err))
 }
 
@@ -276,21 +302,13 @@
 	}
 }
 
-// renew writes the lease if that is due.
+// renew writes the lease if that is due, and looks at it if its holder may be lost.
 func (l *limits) renew(ctx context.Context) {
-	s := l.n.snapshot.Load()
-	candidate := false
-	if !l.n.draining.Load() && l.n.ready.Load() {
-		for k, i := range placement.Rank(leaseName, placement.Place{}, s.instances) {
-			candidate = candidate || k < standbys && i.Address == l.n.self.Address
-		}
-	}
 	l.mu.Lock()
 	now := l.n.now()
-	// The instance that held the lease before it was restarted can take it at once.
-	candidate = candidate || l.owned.Machine == l.n.self.Address && !l.n.draining.Load()
-	record, revision, due := l.lease.Due(now, candidate, l.ended)
-	look := candidate && !due && !l.looking && !l.lease.Valid(now) && now.Sub(l.looked) >= leaseLook
+	record, revision, due := l.lease.Due(now, l.doubts(now) && !l.looked.Before(l.learned), l.ended)
+	look := !due && !l.looking && !l.lease.Valid(now) && l.doubts(now) &&
+		(now.Sub(l.looked) >= leaseLook || l.looked.Before(l.learned))
 	l.looking = l.looking || look
 	l.mu.Unlock()
 	if due {
@@ -301,6 +319,49 @@
 	}
 }
 
+// doubts reports whether this instance may take the lease if nobody holds it, and whether
+// the holder may be lost. The lock is held.
+func (l *limits) doubts(now time.Time) bool {
+	// The instance that held the lease before it was restarted can take it at once.
+	before := l.owned.Machine == l.n.self.Address && l.owned.Holder != l.n.self.ID
+	if l.n.draining.Load() || !l.isFirst() && !before {
+		return false
+	}
+	return before || l.owned.Holder == "" || l.owned.Holder == l.ended || now.Sub(l.learned) >= leaseDoubt
+}
+
+// isFirst reports whether this instance is one of those that may take the lease. The lock
+// is held.
+func (l *limits) isFirst() bool {
+	if !l.n.ready.Load() {
+		return false
+	}
+	if s := l.n.snapshot.Load(); s != l.ranked {
+		list := placement.Rank(leaseName, placement.Place{}, s.instances)
+		list = list[:min(standbys, len(list))]
+		l.ranked = s
+		l.first = slices.ContainsFunc(list, func(i placement.Instance) bool { return i.Address == l.n.self.Address })
+	}
+	return l.first
+}
+
+// rival returns the address of the holder if this instance may take the lease after it.
+func (l *limits) rival() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isFirst() {
+		return ""
+	}
+	return l.owned.Machine
+}
+
+// holds reports whether this instance holds the lease.
+func (l *limits) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.Valid(l.n.now())
+}
+
 // look reads the lease.
 func (l *limits) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -308,31 +369,20 @@
 	o, err := l.n.platform.Store.Get(ctx, KindLease, leaseName)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.looking, l.looked = false, l.n.now()
+	l.looking = false
 	if err == nil || errors.Is(err, ErrMissing) {
-		l.observe(l.looked, o)
-	}
-	if r := l.lease.Record(); r.Holder != "" && r.Holder != l.n.self.ID && r.Machine != l.n.self.Address {
-		go l.check(r)
+		l.observe(l.n.now(), o)
 	}
+	l.looked = l.n.now()
 }
 
-// check asks the instance of the holder whether it is still the same run.
-func (l *limits) check(r lease.SoleRecord) {
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
-	defer cancel()
-	var pong Pong
-	if err := l.n.peers.Call(ctx, r.Machine, "Node.Ping", Ping{From: l.n.self.Address, Sum: l.n.tables.sum()}, &pong); err != nil {
-		return // without an answer the lease is waited for
-	}
-	if pong.ID == r.Holder {
-		return
-	}
+// runs takes in which run of an instance answers at an address.
+func (l *limits) runs(address, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ended != r.Holder {
-		l.ended = r.Holder
-		l.n.log.Info("limit: owner has ended", "owner", r.Holder, "now", pong.ID)
+	if l.owned.Machine == address && l.owned.Holder != "" && l.owned.Holder != id && l.ended != l.owned.Holder {
+		l.ended = l.owned.Holder
+		l.n.log.Info("limit: owner has ended", "owner", l.ended, "now", id)
 	}
 }
 
@@ -354,14 +404,21 @@
 	}
 	now := l.n.now()
 	l.mu.Lock()
+	taken := err == nil && r.Epoch != l.owned.Epoch
 	if err == nil {
 		l.lease.Wrote(now, sent, r, o.Revision)
 		l.follow(now, r)
 	}
 	l.mu.Unlock()
+	if taken {
+		l.n.broadcast(context.WithoutCancel(ctx), "Node.Owner", OwnerNote{r})
+	}
 	if err != nil {
 		l.n.log.Info("limit: lease not written", "epoch", r.Epoch, "err", err.Error())
 		if errors.Is(err, ErrConflict) {
+			l.mu.Lock()
+			l.looked = time.Time{} // it is read before the next attempt
+			l.mu.Unlock()
 			return
 		}
 		// The change may have been made although no answer came.
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -66,6 +66,13 @@
 	return objects, revision, err
 }
 
+// ListOld implements Store.
+func (c counted) ListOld(ctx context.Context, kind Kind) ([]Object, uint64, error) {
+	objects, revision, err := c.Store.ListOld(ctx, kind)
+	c.note("listold", kind, err)
+	return objects, revision, err
+}
+
 // Watch implements Store.
 func (c counted) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Event, uint64, error) {
 	events, revision, err := c.Store.Watch(ctx, kind, since, wait)
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,9 +26,21 @@
 	// suspectAfter calls in a row without an answer make an instance suspect.
 	suspectAfter = 2
 	// pingAll is the size of a fleet in which each instance pings all others. In a larger
-	// one it pings those whose work it uses, and pingSome others.
-	pingAll  = 16
-	pingSome = 3
+	// one the watchers of a failure domain ping the gateways and tell the others which of
+	// them do not answer.
+	pingAll = 16
+	// pingSome is the number of instances that are pinged beside those that matter, and
+	// pingMore that of the instance which removes the objects of lost ones.
+	pingSome = 1
+	pingMore = 6
+	// pingSuspects is the part of the suspect instances that is pinged each time, so that
+	// one that is back is used again within seconds.
+	pingSuspects = 0.4
+	// successors is the number of instances that watch the one which acts for a group.
+	successors = 3
+	// hintAge is the time without an answer from an instance after which the word of a
+	// watcher that it does not answer counts.
+	hintAge = 2 * pingEvery
 	// forgetAfter is the time without an answer after which the object of an instance is
 	// removed from the store.
 	forgetAfter = 25 * time.Second
@@ -62,8 +75,14 @@
 	Leaving bool
 	Sum     uint64
 	Lease   lease.SoleRecord
+	// Suspects are the addresses of instances that do not answer a watcher of the failure
+	// domain.
+	Suspects []string
 }
 
+// OwnerNote tells who owns the limits now, or that nobody does.
+type OwnerNote struct{ Lease lease.SoleRecord }
+
 // TablesAsk asks for copies of tables that are newer than these.
 type TablesAsk struct{ Have map[Kind]Mark }
 
@@ -148,12 +167,19 @@
 	if r := s.n.limits.record(); r.Epoch > p.Epoch || r.Epoch == p.Epoch && r.Beat > p.Beat {
 		reply.Lease = r
 	}
+	reply.Suspects = s.n.hints()
 	if reply.Sum != p.Sum {
 		go s.n.askTables(context.Background(), p.From)
 	}
 	return nil
 }
 
+// Owner takes in who owns the limits.
+func (s *service) Owner(o OwnerNote, _ *None) error {
+	s.n.limits.learn(o.Lease)
+	return nil
+}
+
 // Tables gives copies of tables.
 func (s *service) Tables(a TablesAsk, reply *TablesReply) error {
 	reply.Tables = s.n.tables.newer(a.Have)
@@ -250,31 +276,90 @@
 func (n *Node) pingTargets() []string {
 	s := n.snapshot.Load()
 	chosen := make(map[string]bool)
-	if len(s.instances) <= pingAll {
-		for _, i := range s.instances {
+	add := func(list []placement.Instance) {
+		for _, i := range list {
 			chosen[i.Address] = true
 		}
+	}
+	if len(s.instances) <= pingAll {
+		add(s.instances)
 	} else {
+		n.pingLarge(s, add)
+	}
+	if address := n.limits.rival(); address != "" {
+		chosen[address] = true
+	}
+	delete(chosen, n.self.Address)
+	return slices.Collect(maps.Keys(chosen))
+}
+
+// pingLarge chooses whom to ping in a large fleet.
+func (n *Node) pingLarge(s *snapshot, add func([]placement.Instance)) {
+	if n.watches() {
 		for _, u := range s.upstreams {
-			for _, i := range s.ranked(u)[:2] {
-				chosen[i.Address] = true
-			}
+			add(s.ranked(u)[:2])
 		}
-		for _, address := range n.watchers(n.self.Domain) {
-			chosen[address] = true
+	}
+	for _, address := range n.watchers(n.self.Domain) {
+		add([]placement.Instance{{Address: address}})
+	}
+	for group := range s.policy.Groups {
+		list := placement.Rank(group, placement.Place{}, s.instances)
+		list = list[:min(successors, len(list))]
+		if k := slices.IndexFunc(list, func(i placement.Instance) bool { return i.Address == n.self.Address }); k > 0 {
+			add(list[:k])
 		}
-		for range pingSome {
-			chosen[s.instances[rand.IntN(len(s.instances))].Address] = true
+	}
+	some := pingSome
+	if n.limits.holds() {
+		some = pingMore
+	}
+	for range some {
+		k := rand.IntN(len(s.instances))
+		add(s.instances[k : k+1])
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, i := range s.instances {
+		if r := n.remote[i.Address]; r != nil && r.suspect && rand.Float64() < pingSuspects {
+			add([]placement.Instance{i})
 		}
 	}
-	delete(chosen, n.self.Address)
-	out := make([]string, 0, len(chosen))
-	for address := range chosen {
-		out = append(out, address)
+}
+
+// hints returns the instances that do not answer this one, if it watches for its failure
+// domain in a large fleet.
+func (n *Node) hints() []string {
+	s := n.snapshot.Load()
+	if len(s.instances) <= pingAll || !n.watches() {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for _, i := range s.instances {
+		if r := n.remote[i.Address]; r != nil && r.suspect {
+			out = append(out, i.Address)
+		}
 	}
 	return out
 }
 
+// hinted takes in which instances do not answer a watcher.
+func (n *Node) hinted(watcher string, list []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	for _, address := range list {
+		r := n.peer(address)
+		if address == n.self.Address || r.suspect || now.Sub(r.heard) < hintAge {
+			continue
+		}
+		r.suspect = true
+		n.log.Info("peer: suspect", "peer", address, "heard", now.Sub(r.heard), "told", watcher)
+	}
+}
+
 func (n *Node) ping(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -289,6 +374,8 @@
 	n.peer(address).leaving = pong.Leaving
 	n.mu.Unlock()
 	n.limits.learn(pong.Lease)
+	n.limits.runs(address, pong.ID)
+	n.hinted(address, pong.Suspects)
 	if pong.Sum != sum {
 		n.askTables(ctx, address)
 	}
@@ -331,26 +418,24 @@
 	// lookEvery is the least time between two looks at the store of an instance that does
 	// not watch. It learns of changes from the watchers of its failure domain.
 	lookEvery = 20 * time.Second
-	// lookWait is the shortest wait of a watch, for a look without waiting.
-	lookWait = time.Millisecond
 )
 
-// patience returns how long a watch may wait and how long to pause before it. The store
-// may drop a watch without a word, so the instances that watch for their failure domain
-// ask again within half of the time in which a change must be in force. Waits differ, so
-// that not all watches of the fleet end at the same time.
-func (n *Node) patience(k Kind) (pause, most time.Duration) {
+// patience returns how the table of a kind is kept up to date. The store may drop a watch
+// without a word, so the instances that watch for their failure domain ask again within
+// half of the time in which a change must be in force. Waits differ, so that not all
+// watches of the fleet end at the same time.
+func (n *Node) patience(k Kind) refresh {
 	bound := map[Kind]time.Duration{KindPolicy: n.settings().Apply, KindOut: n.settings().Evacuate, KindUpstream: n.settings().Leave}[k]
 	large := len(n.snapshot.Load().instances) > pingAll
 	switch watches := n.watches(); {
 	case large && !watches:
-		return lookEvery + rand.N(lookEvery), lookWait
+		return refresh{pause: lookEvery + rand.N(lookEvery), look: true}
 	case k == KindInstance:
-		return gather, watchWait
+		return refresh{pause: gather, wait: watchWait}
 	case !watches:
-		return 0, watchWait
+		return refresh{wait: watchWait}
 	}
-	return 0, bound/4 + rand.N(bound/4)
+	return refresh{wait: bound/4 + rand.N(bound/4)}
 }
 
 // spread tells others at once about a change that this instance saw for its domain.
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -48,6 +48,8 @@
 type Store interface {
 	// List returns all objects of a kind, and the store's revision.
 	List(ctx context.Context, kind Kind) ([]Object, uint64, error)
+	// ListOld is a List that costs the store less and may be seconds old.
+	ListOld(ctx context.Context, kind Kind) ([]Object, uint64, error)
 	// Watch waits for changes after a revision. The error is ErrHistory if they are not
 	// known any more.
 	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Event, uint64, error)
@@ -116,8 +118,8 @@
 	now   func() time.Time
 	// changed is called after each change, without the lock.
 	changed func(Kind)
-	// patience returns how long a watch of a kind may wait, and how long to pause before it.
-	patience func(Kind) (pause, wait time.Duration)
+	// patience returns how a kind is kept up to date.
+	patience func(Kind) refresh
 
 	mu       sync.Mutex
 	all      map[Kind]Table
@@ -126,6 +128,13 @@
 	heard    time.Time          // newest answer of the store
 }
 
+// refresh is how the next change of a table is looked for: after a pause, by a watch that
+// waits, or by a look at a copy that may be old.
+type refresh struct {
+	pause, wait time.Duration
+	look        bool
+}
+
 // vanished is an upstream whose entry has disappeared a short time ago.
 type vanished struct {
 	object Object
@@ -298,29 +307,22 @@
 // step lists the kind once and then watches it.
 func (t *tables) step(ctx context.Context, k Kind, listed *bool) error {
 	if !*listed {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		objects, revision, err := t.store.List(ctx, k)
-		if err != nil {
-			return err
-		}
-		next := Table{Kind: k, Revision: revision, Objects: make(map[string]Object, len(objects))}
-		for _, o := range objects {
-			next.Objects[o.Name] = o
-		}
-		t.install(next)
-		*listed = true
-		return nil
+		err := t.list(ctx, k, t.store.List)
+		*listed = err == nil
+		return err
 	}
 	before := t.get(k)
-	pause, patience := t.patience(k)
-	if pause > 0 {
-		wait(ctx, pause)
+	r := t.patience(k)
+	if r.pause > 0 {
+		wait(ctx, r.pause)
 		before = t.get(k) // others may have told something newer
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience+callTimeout/2)
+	if r.look {
+		return t.list(ctx, k, t.store.ListOld)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.wait+callTimeout/2)
 	defer cancel()
-	events, revision, err := t.store.Watch(ctx, k, before.Revision, patience)
+	events, revision, err := t.store.Watch(ctx, k, before.Revision, r.wait)
 	if errors.Is(err, ErrHistory) {
 		t.log.Info("store: history dropped, reading anew", "kind", k, "since", before.Revision)
 		*listed = false
@@ -341,6 +343,22 @@
 	return nil
 }
 
+// list takes over a list of the store.
+func (t *tables) list(ctx context.Context, k Kind, list func(context.Context, Kind) ([]Object, uint64, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	objects, revision, err := list(ctx, k)
+	if err != nil {
+		return err
+	}
+	next := Table{Kind: k, Revision: revision, Objects: make(map[string]Object, len(objects))}
+	for _, o := range objects {
+		next.Objects[o.Name] = o
+	}
+	t.install(next)
+	return nil
+}
+
 // wait sleeps until the time has passed or the context ends.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -98,7 +98,7 @@
 	x, _ := newTestTables(&now)
 	store := &silentStore{}
 	x.store = store
-	x.patience = func(Kind) (time.Duration, time.Duration) { return 0, time.Millisecond }
+	x.patience = func(Kind) refresh { return refresh{wait: time.Millisecond} }
 	listed := false
 	for k, want := range []error{nil, ErrHistory, nil} {
 		if err := x.step(context.Background(), KindPolicy, &listed); !errors.Is(err, want) {
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -58,7 +58,9 @@
 		l.n.log.Info("group: acting instance", "group", name, "acts", acting)
 	}
 	if !acting {
-		g.change.Abandon(l.n.now())
+		for _, c := range g.change.Abandon(l.n.now()) {
+			go l.perform(ctx, g, c)
+		}
 	}
 	if !acting && g.change.Phase() == failover.PhaseIdle || len(s.groups[name]) == 0 {
 		return false
