Use a new connection to an instance once the open one is silent

Now one call of 250 ms or more during which no byte came moves further calls to a new connection; calls that wait on the old one keep it for 5 s. The new test fails on the old pool.

--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -29,6 +31,9 @@
 	net.Conn
 	in, out *metrics.Counter
 
+	// heard is when bytes came last, in nanoseconds since started.
+	heard atomic.Int64
+
 	// left is how much the present message may still take from the connection. Only
 	// the goroutine that reads uses it.
 	left int
@@ -41,6 +46,7 @@
 
 func newConn(nc net.Conn, m *counters) *conn {
 	c := &conn{Conn: nc, in: m.in, out: m.out, left: maxMessage, wake: make(chan struct{}, 1)}
+	c.heard.Store(int64(time.Since(started)))
 	go c.send()
 	return c
 }
@@ -49,12 +55,23 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.in.Add(n)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(started)))
+	}
 	if c.left -= n; c.left < 0 {
 		return 0, errTooLong
 	}
 	return n, err
 }
 
+// silentSince reports whether nothing came since a time.
+func (c *conn) silentSince(at time.Time) bool {
+	return time.Duration(c.heard.Load()) < at.Sub(started)
+}
+
+// started is the time from which connections count.
+var started = time.Now()
+
 // nextMessage allows another message of the full length.
 func (c *conn) nextMessage() { c.left = maxMessage }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -243,3 +245,60 @@
 	serve(t, Config{Addr: s.Addr()})
 	echoes(t, p, s.Addr())
 }
+
+// Guards against calls that wait for a connection which has gone silent while new ones
+// work, and against the end of the calls that still wait on it.
+func TestSilentConnection(t *testing.T) {
+	s, d, _ := serve(t, Config{})
+	p := pool(t, Config{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var silent atomic.Bool
+	go func() {
+		for first := true; ; first = false {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				return
+			}
+			go io.Copy(out, in)
+			go func() {
+				b := make([]byte, 4096)
+				for {
+					n, err := out.Read(b)
+					for first && silent.Load() {
+						time.Sleep(time.Millisecond)
+					}
+					if _, failed := in.Write(b[:n]); err != nil || failed != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	address := l.Addr().String()
+	echoes(t, p, address)
+	silent.Store(true)
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := call(p, address, "Desk.Echo", "late", 10*time.Second)
+		waiting <- err
+	}()
+	if _, err := call(p, address, "Desk.Echo", "lost", 300*time.Millisecond); !Unavailable.Has(err) {
+		t.Errorf("a call on the silent connection: %v", err)
+	}
+	if _, err := call(p, address, "Desk.Echo", "new", 300*time.Millisecond); err != nil {
+		t.Errorf("a call after it: %v", err)
+	}
+	silent.Store(false)
+	if err := <-waiting; err != nil {
+		t.Errorf("the call that waited on the silent connection: %v", err)
+	}
+	close(d.hold)
+}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -25,6 +25,13 @@
 	// maxTimeouts calls in a row without an answer close the connection, since a
 	// network that has dropped packets may leave it stuck long after it is back.
 	maxTimeouts = 3
+	// silentFor is the time without any bytes, while a call waits, after which further
+	// calls use a new connection: an open one may have gone silent for good while new ones
+	// work. It is several round trips between regions.
+	silentFor = 250 * time.Millisecond
+	// retiredFor is the time for which a connection that was replaced stays open for the
+	// calls that wait on it.
+	retiredFor = 5 * time.Second
 	// idleTimeout closes connections to peers that are no longer called, such as
 	// replaced instances.
 	idleTimeout = time.Minute
@@ -58,6 +65,7 @@
 
 	// What follows is guarded by the pool's mutex.
 	conn     *rpc.Client
+	wire     *conn // under conn
 	used     time.Time
 	calls    int // in flight or waiting
 	next     time.Time
@@ -112,10 +120,11 @@
 		return err
 	}
 	defer p.leave(e)
+	began := time.Now()
 	select {
 	case e.slots <- struct{}{}:
 	case <-ctx.Done():
-		p.timedOut(ctx, e)
+		p.timedOut(ctx, e, began)
 		return Unavailable.Wrap(ctx.Err())
 	}
 	release := func() { <-e.slots }
@@ -132,7 +141,7 @@
 	case <-call.Done:
 		release()
 	case <-ctx.Done():
-		p.timedOut(ctx, e)
+		p.timedOut(ctx, e, began)
 		// The slot stays taken until the library has dropped the call.
 		go func() {
 			<-call.Done
@@ -233,7 +242,7 @@
 		c.Close()
 		return nil, err
 	}
-	e.conn, e.backoff, e.timeouts = rpc.NewClientWithCodec(k), minBackoff, 0
+	e.conn, e.wire, e.backoff, e.timeouts = rpc.NewClientWithCodec(k), c, minBackoff, 0
 	return e.conn, nil
 }
 
@@ -249,13 +258,17 @@
 
 // timedOut counts a call without an answer. Closing the connection ends the calls
 // that still wait on it.
-func (p *Pool) timedOut(ctx context.Context, e *peer) {
+func (p *Pool) timedOut(ctx context.Context, e *peer, began time.Time) {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return
 	}
 	p.mu.Lock()
 	e.timeouts++
 	conn, stuck := e.conn, e.timeouts >= maxTimeouts
+	if !stuck && conn != nil && time.Since(began) >= silentFor && e.wire.silentSince(began) {
+		e.conn = nil
+		time.AfterFunc(retiredFor, func() { conn.Close() })
+	}
 	p.mu.Unlock()
 	if stuck && conn != nil {
 		p.drop(e, conn)
