--- a/cmd/burdockctl/arguments.go
+++ b/cmd/burdockctl/arguments.go
@@ -33,6 +33,7 @@
 	Domain   *domainCommand   `arg:"subcommand:domain" help:"take a failure domain out or in"`
 	Upstream *upstreamCommand `arg:"subcommand:upstream" help:"let an upstream leave or return"`
 	Group    *groupCommand    `arg:"subcommand:group" help:"move a group's primary"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"find the cause of a failed request in log files"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of all instances"`
 
 	Config   string        `arg:"--config,env:BURDOCKCTL_CONFIG" placeholder:"FILE" help:"settings file (INI) with store, operator, secret, author, timeout"`
@@ -136,6 +137,11 @@
 	Upstream string `arg:"positional,required" placeholder:"UPSTREAM" help:"the new primary"`
 }
 
+type explainCommand struct {
+	ID    string   `arg:"positional,required" help:"the statement's id"`
+	Files []string `arg:"positional,required" help:"log files of the instances; - for standard input"`
+}
+
 type statusCommand struct{}
 
 // waiting is the option of the commands that change the configuration.
@@ -165,6 +171,7 @@
   burdockctl domain out kol-a --wait
   burdockctl upstream leave salas1.gdl-a
   burdockctl group switch salas1 salas1.mty-a
+  burdockctl explain 5c0e7a21d94b36f8 a.log b.log c.log
   burdockctl status --operator 10.0.0.11:7004
 
 A folder remembers its base revision in the file ` + ctl.StateFile + `.
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -38,8 +38,9 @@
 // Router runs operations somewhere in the fleet. Its methods wait until the context's
 // end or the route's timeout at most.
 type Router interface {
-	// Admit decides whether an operation may start. If not, the reply says why.
-	Admit(ctx context.Context, database string, c access.Credential) (access.Grant, call.Reply)
+	// Admit decides whether an operation may start, whose first statement has the id. If
+	// not, the reply says why.
+	Admit(ctx context.Context, id, database string, c access.Credential) (access.Grant, call.Reply)
 	// Check repeats the decision about the key for a statement of an open transaction.
 	Check(database string, c access.Credential) call.Code
 	// Run runs a statement of the operation and notes in it where its transaction is.
@@ -149,7 +150,7 @@
 	if s.state != call.Idle {
 		return s.failed(refuse(call.BadInput, "a transaction is open"))
 	}
-	op, refusal := s.operation(ctx, st.Kind)
+	op, refusal := s.operation(ctx, st.ID, st.Kind)
 	if op == nil {
 		return answer(refusal)
 	}
@@ -157,10 +158,10 @@
 	return call.Answer{}
 }
 
-// operation starts an operation if it is admitted.
-func (s *Session) operation(ctx context.Context, kind call.Kind) (*Operation, call.Reply) {
+// operation starts an operation with a statement's id if it is admitted.
+func (s *Session) operation(ctx context.Context, id string, kind call.Kind) (*Operation, call.Reply) {
 	arrived := s.now()
-	grant, refusal := s.router.Admit(ctx, s.database, s.credential)
+	grant, refusal := s.router.Admit(ctx, id, s.database, s.credential)
 	if refusal.Code != call.OK {
 		return nil, refusal
 	}
@@ -194,7 +195,7 @@
 	if s.op != nil {
 		return s.inside(ctx, st)
 	}
-	op, refusal := s.operation(ctx, "")
+	op, refusal := s.operation(ctx, st.ID, "")
 	if op == nil {
 		return answer(refusal)
 	}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -143,12 +143,12 @@
 }
 
 // Admit implements caller.Router.
-func (n *Node) Admit(ctx context.Context, database string, c access.Credential) (access.Grant, call.Reply) {
+func (n *Node) Admit(ctx context.Context, id, database string, c access.Credential) (access.Grant, call.Reply) {
 	policy := n.snapshot.Load().policy
 	grant, code := policy.Authorize(database, c)
 	switch {
 	case code != call.OK:
-		n.log.Info("request: refused", "database", database, "code", code, "version", policy.Version)
+		n.log.Info("request: refused", "id", id, "database", database, "code", code, "version", policy.Version)
 		n.metrics.count("burdockseam_refused_total{reason=\"" + string(code) + "\"}")
 		return grant, call.Refusal(code, "version "+strconv.FormatUint(policy.Version, 10))
 	case grant.Team.Name == "":
@@ -156,6 +156,7 @@
 	case n.isolated():
 		r := call.Refusal(call.Busy, "the configuration is not confirmed")
 		r.Retry = leaderRetry
+		n.log.Info("request: refused", "id", id, "database", database, "code", r.Code, "why", r.Text, "version", policy.Version)
 		return grant, r
 	}
 	retry, ok := n.limits.take(ctx, grant.Team.Name, grant.Route.Target/2)
@@ -163,7 +164,7 @@
 		return grant, call.Reply{}
 	}
 	n.metrics.limit("refused")
-	n.log.Info("request: over the limit", "team", grant.Team.Name, "route", grant.Route.Name, "rate", grant.Team.Rate, "burst", grant.Team.Burst, "retry", retry)
+	n.log.Info("request: over the limit", "id", id, "team", grant.Team.Name, "route", grant.Route.Name, "rate", grant.Team.Rate, "burst", grant.Team.Burst, "retry", retry)
 	n.metrics.count("burdockseam_refused_total{reason=\"limit\"}")
 	r := call.Refusal(call.Busy, "over the team's rate")
 	r.Retry = retry
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -213,7 +213,7 @@
 		n.gateways.Forget(name)
 	}
 	if k == KindPolicy && s.policy.Version != before.policy.Version {
-		n.log.Info("config: in force", "version", s.policy.Version, "before", before.policy.Version, "routes", len(s.policy.Routes))
+		n.log.Info("config: in force", "version", s.policy.Version, "replaced", before.policy.Version, "routes", len(s.policy.Routes))
 	}
 	n.metrics.version.Set(float64(s.policy.Version))
 	n.limits.configure(s)
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -10,7 +10,6 @@
 
 	"burdockseam/core/access"
 	"burdockseam/core/call"
-
 	"burdockseam/core/placement"
 	"burdockseam/core/route"
 	"burdockseam/core/wal"
@@ -465,6 +464,6 @@
 		return
 	}
 	n.log.Info("request: not served", "id", s.ID, "op", op.Name, "kind", s.Kind, "route", op.Grant.Route.Name,
-		"team", op.Grant.Team.Name, "code", r.Code, "ran", r.Ran, "why", r.Text, "upstream", op.Upstream,
+		"team", op.Grant.Team.Name, "group", op.Grant.Route.Group, "code", r.Code, "ran", r.Ran, "why", r.Text, "upstream", op.Upstream,
 		"version", n.snapshot.Load().policy.Version, "took", took)
 }
