--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -59,9 +59,20 @@
 func (l Line) String() string {
 	s := l.Time.Format("15:04:05.000") + " " + l.Source + " " + l.Msg
 	for _, f := range []struct{ name, value string }{
-		{"id", l.ID}, {"kind", l.Kind}, {"team", l.Team}, {"route", l.Route}, {"group", l.Group}, {"upstream", l.Upstream},
-		{"gateway", l.Gateway}, {"peer", l.Peer}, {"code", l.Code}, {"ran", l.Ran}, {"why", l.Why}, {"err", l.Err},
-		{"owner", l.Owner}, {"before", l.Before},
+		{"id", l.ID},
+		{"kind", l.Kind},
+		{"team", l.Team},
+		{"route", l.Route},
+		{"group", l.Group},
+		{"upstream", l.Upstream},
+		{"gateway", l.Gateway},
+		{"peer", l.Peer},
+		{"code", l.Code},
+		{"ran", l.Ran},
+		{"why", l.Why},
+		{"err", l.Err},
+		{"owner", l.Owner},
+		{"before", l.Before},
 	} {
 		if f.value != "" {
 			s += fmt.Sprintf(" %s=%q", f.name, f.value)
--- a/core/route/floors.go
+++ b/core/route/floors.go
@@ -46,16 +46,16 @@
 	f.list = append(f.list, floor{at, p})
 }
 
-// Oldest returns the position of the oldest sample that is not older than the given
-// time, so that as many replicas as possible have reached it. It reports false if
-// there is none.
-func (f *Floors) Oldest(since time.Time) (wal.Position, bool) {
+// Oldest returns the position and the time of the oldest sample that is not older than
+// the given time, so that as many replicas as possible have reached it. It reports false
+// if there is none.
+func (f *Floors) Oldest(since time.Time) (p wal.Position, at time.Time, ok bool) {
 	for _, s := range f.list {
 		if !s.at.Before(since) {
-			return s.position, true
+			return s.position, s.at, true
 		}
 	}
-	return wal.Position{}, false
+	return wal.Position{}, time.Time{}, false
 }
 
 // Last returns the newest position and the time at which the primary is proven to have
--- a/core/route/floors_test.go
+++ b/core/route/floors_test.go
@@ -43,7 +43,7 @@
 				}
 			}
 			since := now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "staleness")) * time.Millisecond)
-			floor, ok := f.Oldest(since)
+			floor, _, ok := f.Oldest(since)
 			if !ok {
 				continue
 			}
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -73,6 +73,7 @@
 		time.Sleep(busyPause)
 		a, err = c.Run(deadline, s, preparedName(s), r.After)
 	}
+	g.s.observer.Answered(g.s.now().Sub(began))
 	if err != nil {
 		g.release(c, id, r, false)
 		return g.lost(r, err)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -134,11 +134,13 @@
 	g.mu.Unlock()
 	select {
 	case s := <-turn:
+		g.s.observer.Waited(g.s.now().Sub(now))
 		if s.conn == nil {
 			return g.finish(r.Session, s.refusal)
 		}
 		return g.finish(r.Session, g.execute(s.conn, id, r, deadline))
 	case <-ctx.Done():
+		g.s.observer.Waited(g.s.now().Sub(now))
 		g.mu.Lock()
 		waiting, list := g.queue.Cancel(g.s.now(), id)
 		g.decide(list)
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -118,7 +118,7 @@
 
 func newTest(answer func(string) (call.Answer, error)) (*script, *Gateways) {
 	s := &script{answer: answer}
-	return s, New(s, logr.Discard(), time.Now)
+	return s, New(s, silentObserver{}, logr.Discard(), time.Now)
 }
 
 func wantSent(t *testing.T, s *script, want ...string) {
@@ -360,3 +360,12 @@
 		t.Errorf("sent %q", log)
 	}
 }
+
+// silentObserver is an Observer that notes nothing.
+type silentObserver struct{}
+
+// Waited implements Observer.
+func (silentObserver) Waited(time.Duration) {}
+
+// Answered implements Observer.
+func (silentObserver) Answered(time.Duration) {}
--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,17 +16,29 @@
 
 // Gateways are the gateways of one instance. The methods may be called concurrently.
 type Gateways struct {
-	dialer Dialer
-	log    logr.Logger
-	now    func() time.Time
+	dialer   Dialer
+	observer Observer
+	log      logr.Logger
+	now      func() time.Time
 
 	mu  sync.Mutex
 	all map[string]*Gateway
 }
 
+// Observer is told how long statements took.
+type Observer interface {
+	// Waited is told the time until a statement had its turn or was refused.
+	Waited(time.Duration)
+	// Answered is told the time until the upstream's answer.
+	Answered(time.Duration)
+}
+
+// Use is what runs at an instance's gateways.
+type Use struct{ Queued, Running, Connections int }
+
 // New returns gateways without connections.
-func New(d Dialer, log logr.Logger, now func() time.Time) *Gateways {
-	return &Gateways{dialer: d, log: log, now: now, all: make(map[string]*Gateway)}
+func New(d Dialer, o Observer, log logr.Logger, now func() time.Time) *Gateways {
+	return &Gateways{dialer: d, observer: o, log: log, now: now, all: make(map[string]*Gateway)}
 }
 
 // Run runs a request at the upstream that it names.
@@ -51,19 +65,32 @@
 
 // Open returns the number of statements and transactions at all upstreams.
 func (s *Gateways) Open() int {
-	s.mu.Lock()
-	list := make([]*Gateway, 0, len(s.all))
-	for _, g := range s.all {
-		list = append(list, g)
-	}
-	s.mu.Unlock()
 	n := 0
-	for _, g := range list {
+	for _, g := range s.list() {
 		n += g.busy()
 	}
 	return n
 }
 
+// Use returns what runs at all upstreams.
+func (s *Gateways) Use() Use {
+	var u Use
+	for _, g := range s.list() {
+		g.mu.Lock()
+		u.Queued += g.queue.Queued()
+		u.Running += g.queue.Running()
+		u.Connections += len(g.conns)
+		g.mu.Unlock()
+	}
+	return u
+}
+
+func (s *Gateways) list() []*Gateway {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.all))
+}
+
 // Forget closes the connections to an upstream that has left or started anew.
 func (s *Gateways) Forget(upstream string) {
 	s.mu.Lock()
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -129,8 +129,9 @@
 	return l.group(name).leader == upstream
 }
 
-// floor returns a position that proves reads behind it to be no older than since.
-func (l *leaders) floor(name string, since time.Time) (wal.Position, bool) {
+// floor returns a position that proves reads behind it to be no older than since, and the
+// time from which it is.
+func (l *leaders) floor(name string, since time.Time) (wal.Position, time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.group(name).floors.Oldest(since)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -14,13 +14,42 @@
 
 // nodeMetrics are the counters of an instance. Times are in seconds.
 type nodeMetrics struct {
-	set     *metrics.Set
-	version *metrics.Gauge
+	set      *metrics.Set
+	version  *metrics.Gauge
+	margin   *metrics.Histogram // by which a replica read is inside its staleness bound
+	waited   *metrics.Histogram // for a turn at a gateway
+	upstream *metrics.Histogram // for an upstream's answer
 }
 
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
-	return &nodeMetrics{set: set, version: set.NewGauge("burdockseam_config_version", nil)}
+	return &nodeMetrics{
+		set: set, version: set.NewGauge("burdockseam_config_version", nil),
+		margin:   set.NewHistogram("burdockseam_staleness_margin_seconds"),
+		waited:   set.NewHistogram("burdockseam_gateway_wait_seconds"),
+		upstream: set.NewHistogram("burdockseam_gateway_upstream_seconds"),
+	}
+}
+
+// Waited implements gateway.Observer.
+func (m *nodeMetrics) Waited(d time.Duration) { m.waited.Update(d.Seconds()) }
+
+// Answered implements gateway.Observer.
+func (m *nodeMetrics) Answered(d time.Duration) { m.upstream.Update(d.Seconds()) }
+
+// watch adds the gauges of the instance's state.
+func (m *nodeMetrics) watch(n *Node) {
+	for name, value := range map[string]func() int{
+		"burdockseam_gateway_queued":      func() int { return n.gateways.Use().Queued },
+		"burdockseam_gateway_running":     func() int { return n.gateways.Use().Running },
+		"burdockseam_gateway_connections": func() int { return n.gateways.Use().Connections },
+		"burdockseam_callers":             func() int { open, _ := n.callers.Sessions(); return open },
+		"burdockseam_peers":               func() int { return len(n.snapshot.Load().instances) - 1 },
+		"burdockseam_peers_suspect":       n.suspects,
+	} {
+		m.set.NewGauge(name, func() float64 { return float64(value()) })
+	}
+	m.set.NewGauge("burdockseam_store_silent_seconds", func() float64 { return n.tables.silent().Seconds() })
 }
 
 // statement counts a statement by the consistency of its route and its outcome.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -115,7 +115,7 @@
 	n.tables = newTables(n.platform.Store, log, n.now)
 	n.tables.changed = n.rebuild
 	n.tables.patience = n.patience
-	n.gateways = gateway.New(p.Dialer, log, n.now)
+	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
 	n.limits = newLimits(n)
 	n.leaders = newLeaders(n)
 	config := peer.Config{Addr: s.Peer, InFlight: peerCalls, Metrics: n.metrics.set}
@@ -135,6 +135,7 @@
 		Listener: listener, Protocol: p.Protocol, Router: n, Known: n.await, Name: n.self.ID,
 		Log: log, Now: n.now, Limit: s.Callers,
 	}
+	n.metrics.watch(n)
 	return n, nil
 }
 
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -327,6 +327,19 @@
 	}
 }
 
+// suspects returns the number of instances that do not answer.
+func (n *Node) suspects() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, r := range n.remote {
+		if r.suspect {
+			count++
+		}
+	}
+	return count
+}
+
 // hints returns the instances that do not answer this one, if it watches for its failure
 // domain in a large fleet.
 func (n *Node) hints() []string {
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -95,7 +95,7 @@
 // runFirst runs the first statement of an operation where it serves best.
 func (n *Node) runFirst(ctx context.Context, op *caller.Operation, s call.Statement, deadline time.Time) call.Reply {
 	if r := op.Grant.Route; r.Consistency != access.Primary && !s.IsWrite() && op.Kind != call.Begin {
-		if _, ok := n.leaders.floor(r.Group, op.Arrived.Add(staleMargin-r.Staleness)); !ok {
+		if _, _, ok := n.leaders.floor(r.Group, op.Arrived.Add(staleMargin-r.Staleness)); !ok {
 			n.leaders.fetch(ctx, r.Group)
 		}
 	}
@@ -176,7 +176,7 @@
 	if r.Consistency == access.Primary || s.IsWrite() || op.Kind == call.Begin {
 		return n.choosePrimary(snap, op, leader, tried, now)
 	}
-	floor, ok := n.leaders.floor(r.Group, op.Arrived.Add(staleMargin-r.Staleness))
+	floor, at, ok := n.leaders.floor(r.Group, op.Arrived.Add(staleMargin-r.Staleness))
 	if !ok {
 		return n.choosePrimary(snap, op, leader, tried, now)
 	}
@@ -214,6 +214,9 @@
 	if !found {
 		return n.choosePrimary(snap, op, leader, tried, now)
 	}
+	if best.reason == "replica" {
+		n.metrics.margin.Update(at.Sub(op.Arrived.Add(-r.Staleness)).Seconds())
+	}
 	return best, true
 }
 
