--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -59,3 +59,17 @@
 	}
 	return out
 }
+
+// Leading reports whether the instance at an address is one of the first n in the list
+// that are fit. It counts as fit itself.
+func Leading(list []Instance, address string, n int, fit func(address string) bool) bool {
+	for _, i := range list {
+		switch {
+		case i.Address == address:
+			return n > 0
+		case fit(i.Address):
+			n--
+		}
+	}
+	return false
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -27,3 +28,29 @@
 		}
 	}
 }
+
+// TestLeading guards against a role that nobody takes since the first choices are not fit,
+// as on scale-2 of saajghar-pool-grown, where the store did not answer five of them.
+func TestLeading(t *testing.T) {
+	list := []Instance{{Address: "a"}, {Address: "b"}, {Address: "c"}, {Address: "d"}}
+	for _, test := range []struct {
+		address, unfit string
+		n              int
+		want           bool
+	}{
+		{"a", "", 1, true},
+		{"b", "", 1, false},
+		{"b", "a", 1, true},
+		{"d", "abc", 1, true},
+		{"d", "a", 2, false},
+		{"d", "ab", 2, true},
+		{"a", "a", 1, true},
+		{"e", "abcd", 1, false},
+		{"a", "", 0, false},
+	} {
+		fit := func(address string) bool { return !strings.Contains(test.unfit, address) }
+		if got := Leading(list, test.address, test.n, fit); got != test.want {
+			t.Errorf("%+v: %v", test, got)
+		}
+	}
+}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -43,8 +43,11 @@
 	leaseDoubt = 3500 * time.Millisecond
 	// leaseName is the name of the object that holds the lease.
 	leaseName = "limits"
-	// standbys is the number of instances that may take the lease.
-	standbys = 3
+	// standbys is the number of instances that may take the lease at a time, and leaseDepth
+	// that of those among which they are the first that answer. With a third of the fleet
+	// cut off, all of eight are so once in several thousand times.
+	standbys   = 3
+	leaseDepth = 8
 	// spareShare is the part of the allowed excess that small bursts may use.
 	spareShare = 0.5
 	// shard is the name of the only shard: one owner serves all teams.
@@ -63,12 +66,12 @@
 	closed  bool
 	looked  time.Time
 	looking bool
-	owned   lease.SoleRecord // the newest lease known, also from others
-	learned time.Time        // when owned became known
-	changed time.Time        // when the owner changed last
-	ended   string           // a holder that is known to have ended
-	ranked  *snapshot        // for which first was worked out
-	first   bool             // this instance is one of those that may take the lease
+	owned   lease.SoleRecord     // the newest lease known, also from others
+	learned time.Time            // when owned became known
+	changed time.Time            // when the owner changed last
+	ended   string               // a holder that is known to have ended
+	ranked  *snapshot            // for which order was worked out
+	order   []placement.Instance // those that may come to hold the lease
 }
 
 func newLimits(n *Node) *limits {
@@ -331,19 +334,37 @@
 	return before || l.owned.Holder == "" || l.owned.Holder == l.ended || now.Sub(l.learned) >= leaseDoubt
 }
 
-// isFirst reports whether this instance is one of those that may take the lease. The lock
-// is held.
+// isFirst reports whether this instance is one of those that may take the lease: the first
+// ones that answer and reach the store. The lock is held.
 func (l *limits) isFirst() bool {
-	if !l.n.ready.Load() {
+	if !l.n.ready.Load() || l.n.storeless() {
 		return false
 	}
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	return placement.Leading(l.successors(), l.n.self.Address, standbys, func(address string) bool {
+		r := l.n.remote[address]
+		return r == nil || !r.suspect && !r.leaving && !r.storeless
+	})
+}
+
+// successors returns the instances that may come to hold the lease, the first choice
+// first. The lock is held.
+func (l *limits) successors() []placement.Instance {
 	if s := l.n.snapshot.Load(); s != l.ranked {
 		list := placement.Rank(leaseName, placement.Place{}, s.instances)
-		list = list[:min(standbys, len(list))]
-		l.ranked = s
-		l.first = slices.ContainsFunc(list, func(i placement.Instance) bool { return i.Address == l.n.self.Address })
+		l.ranked, l.order = s, list[:min(leaseDepth, len(list))]
 	}
-	return l.first
+	return l.order
+}
+
+// preceding returns the instances that may take the lease before this one.
+func (l *limits) preceding() []placement.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	order := l.successors()
+	k := slices.IndexFunc(order, func(i placement.Instance) bool { return i.Address == l.n.self.Address })
+	return order[:max(0, k)]
 }
 
 // rival returns the address of the holder if this instance may take the lease after it.
