Let no late answer end the lease of a newer run; ask before taking a watcher's word

A watcher that is itself cut off would have made its failure domain suspect everybody; its word leads to one ping of one's own now.

--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -398,12 +398,14 @@
 	l.looked = l.n.now()
 }
 
-// runs takes in which run of an instance answers at an address.
-func (l *limits) runs(address, id string) {
+// runs takes in which run of an instance answered a ping, and who was known to own the
+// limits when the ping was sent. A holder that took the lease later may have started after
+// the answer, which counts for nothing then.
+func (l *limits) runs(known lease.SoleRecord, address, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.owned.Machine == address && l.owned.Holder != "" && l.owned.Holder != id && l.ended != l.owned.Holder {
-		l.ended = l.owned.Holder
+	if known.Machine == address && known.Holder != "" && known.Holder != id && l.owned.Holder == known.Holder && l.ended != known.Holder {
+		l.ended = known.Holder
 		l.n.log.Info("limit: owner has ended", "owner", l.ended, "now", id)
 	}
 }
--- a/io/node/pings.go
+++ b/io/node/pings.go
@@ -36,8 +36,8 @@
 	// storelessAfter is the time without an answer of the store after which an instance does
 	// not count as one that could take a lease. It is above a usual retry.
 	storelessAfter = time.Second
-	// hintAge is the time without an answer from an instance after which the word of a
-	// watcher that it does not answer counts.
+	// hintAge is the time without an answer from an instance after which it is pinged if a
+	// watcher gets no answer from it.
 	hintAge = 2 * pingEvery
 )
 
@@ -146,8 +146,9 @@
 	return out
 }
 
-// hinted takes in which instances do not answer a watcher.
-func (n *Node) hinted(watcher string, list []string) {
+// hinted takes in which instances do not answer a watcher. Those that have not answered
+// this one for a while either are suspect if they do not answer one ping.
+func (n *Node) hinted(list []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -156,8 +157,8 @@
 		if address == n.self.Address || r.suspect || now.Sub(r.heard) < hintAge {
 			continue
 		}
-		r.suspect = true
-		n.log.Info("peer: suspect", "peer", address, "heard", now.Sub(r.heard), "told", watcher)
+		r.failures = max(r.failures, suspectAfter-1)
+		go n.ping(context.Background(), address)
 	}
 }
 
@@ -176,8 +177,8 @@
 	r.leaving, r.storeless = pong.Leaving, pong.Storeless
 	n.mu.Unlock()
 	n.limits.learn(pong.Lease)
-	n.limits.runs(address, pong.ID)
-	n.hinted(address, pong.Suspects)
+	n.limits.runs(known, address, pong.ID)
+	n.hinted(pong.Suspects)
 	if pong.Sum != sum {
 		n.askTables(ctx, address)
 	}
