Hand over tokens when the acting instance changes; close sessions before Drain returns

Still open: an instance that dies with the newest token while the store is down.

TestDrain of io/postgres: the server counted a caller as gone before its session was closed, so that Drain could return with one session open.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -14,6 +14,10 @@
 //     are paused, and orders that it accepted before that get the time to take effect. So
 //     no order of another instance takes effect between the answers to the pauses and
 //     the own order.
+//   - An instance that does not act for the group any more gives its unused token to the
+//     one that does, since a token drawn by an instance that acted for a moment makes the
+//     older one of the other useless, and without the store none can be drawn. The giver
+//     forgets it, and the receiver treats it like one drawn while a rival exists.
 //   - An order without an answer may be carried out later, so it is repeated until it is
 //     answered.
 //   - A replica that was paused is never told to go on, since another instance may have
@@ -337,6 +341,28 @@
 	}
 }
 
+// Give gives up a token that was drawn and not used, for another instance, or returns 0.
+func (c *Ordered) Give() uint64 {
+	if c.phase != PhaseIdle {
+		return 0
+	}
+	given := c.token
+	// Whoever holds it now may be a rival of the next token that is drawn here.
+	c.token, c.newest = 0, 0
+	return given
+}
+
+// Take takes over a token that another instance has given up, unless a newer one is at
+// hand or a change is under way, and reports whether it did.
+func (c *Ordered) Take(now time.Time, token uint64) bool {
+	if c.phase != PhaseIdle || token <= c.token {
+		return false
+	}
+	c.rival = true // older ones may not have been used
+	c.token, c.newest, c.raise, c.raised = token, token, now, time.Time{}
+	return true
+}
+
 // Raised takes in that the platform has seen a token or a higher one.
 func (c *Ordered) Raised(now time.Time, token uint64) {
 	if token == c.token && c.raised.IsZero() {
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -28,8 +28,11 @@
 	effects []effect
 	fence   uint64 // highest token that the platform has seen
 	pending []Command
+	given   []uint64 // tokens on their way to another instance
 	lost    []int
 	actors  []*actor
+
+	storeDown bool
 }
 
 // effect is an accepted order that takes effect later.
@@ -149,6 +152,9 @@
 	x.commands, x.sent = slices.Delete(x.commands, k, k+1), slices.Delete(x.sent, k, k+1)
 	switch c.Action {
 	case ActionDraw:
+		if w.storeDown {
+			return
+		}
 		if w.drawn++; answered {
 			x.change.Drew(w.now, w.drawn, w.drawn-1)
 		}
@@ -197,7 +203,7 @@
 
 // TestOrderedKeepsAcknowledged guards against the loss of an acknowledged commit by a
 // promotion: two instances act at once, answers are lost, orders are carried out late and
-// take effect later, upstreams go down and come back.
+// take effect later, upstreams go down and come back, tokens are handed over.
 func TestOrderedKeepsAcknowledged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newOrderedWorld(2)
@@ -206,7 +212,7 @@
 		for range steps {
 			w.pass(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			x := w.actors[rapid.IntRange(0, len(w.actors)-1).Draw(t, "actor")]
-			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "drive", "start", "down", "late", "news"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "drive", "start", "down", "late", "news", "give", "take"}).Draw(t, "action") {
 			case "commit":
 				w.commit(map[string]bool{"a": rapid.Bool().Draw(t, "a"), "b": rapid.Bool().Draw(t, "b"), "c": rapid.Bool().Draw(t, "c")})
 			case "tick":
@@ -237,6 +243,15 @@
 					w.promote(w.pending[0])
 					w.pending = w.pending[1:]
 				}
+			case "give":
+				if token := x.change.Give(); token > 0 {
+					w.given = append(w.given, token)
+				}
+			case "take":
+				if len(w.given) > 0 {
+					x.change.Take(w.now, w.given[0])
+					w.given = w.given[1:]
+				}
 			case "news":
 				x.change.Members(w.primary, w.term, w.candidates())
 			}
@@ -268,6 +283,52 @@
 	t.Fatalf("the change is still in phase %s", x.change.Phase())
 }
 
+// TestOrderedHandOver guards against a group that nobody can promote while the store is
+// down, since an instance that acted for a moment has drawn a newer token and shown it.
+func TestOrderedHandOver(t *testing.T) {
+	w := newOrderedWorld(2)
+	x, y := w.actors[0], w.actors[1]
+	w.step(x) // draws the first token
+	w.step(y) // draws the second one
+	w.pass(time.Millisecond)
+	w.step(y) // shows it
+	if w.fence != 2 {
+		t.Fatalf("the platform has seen token %d", w.fence)
+	}
+	if token := y.change.Give(); !x.change.Take(w.now, token) || y.change.Drawn() {
+		t.Fatalf("token %d was not handed over", token)
+	}
+	w.storeDown = true
+	w.down["a"] = true
+	x.change.Start(w.now, false, "test")
+	drive(t, w, x)
+	if w.primary == "a" {
+		t.Error("no upstream was promoted")
+	}
+}
+
+// TestOrderedHandOverIsShown guards against an order with a token that was handed over, or
+// with one drawn after it, while the platform would still accept an older one.
+func TestOrderedHandOverIsShown(t *testing.T) {
+	raises := func(x *Ordered, now time.Time) bool {
+		return slices.ContainsFunc(x.Tick(now), func(c Command) bool { return c.Action == ActionRaise })
+	}
+	x, y := NewOrdered(1), NewOrdered(2)
+	x.Drew(epoch, 1, 0)
+	if x.Give(); x.Drawn() {
+		t.Error("a token is used after it was handed over")
+	}
+	if !y.Take(epoch, 1) || !raises(y, epoch) {
+		t.Error("a token that was handed over is not shown")
+	}
+	if x.Drew(epoch, 2, 1); !raises(x, epoch) {
+		t.Error("the token after one that was handed over is not shown")
+	}
+	if y.Take(epoch, 1) || y.Take(epoch, 0) || !y.Take(epoch, 2) || y.Take(epoch, 1) {
+		t.Error("only a newer token is taken over")
+	}
+}
+
 func TestOrderedPromotion(t *testing.T) {
 	all := map[string]bool{"a": true, "b": true, "c": true}
 	t.Run("takes the replica that has received most", func(t *testing.T) {
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -218,3 +218,32 @@
 	var have token
 	return json.Unmarshal(o.Data, &have) == nil && have == want
 }
+
+// handOver gives the unused token of a group to the instance that acts for it, which may be
+// unable to draw one: the store may be down, and this token has made older ones useless.
+// If the message is lost, so is the token. The lock is held.
+func (l *leaders) handOver(ctx context.Context, g *group, heir string) {
+	if heir == l.n.self.Address {
+		return // nobody else is there
+	}
+	token := g.change.Give()
+	if token == 0 {
+		return
+	}
+	l.n.log.Info("group: token handed over", "group", g.name, "token", token, "to", heir)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := l.n.peers.Call(ctx, heir, "Node.Token", TokenNote{g.name, token}, &None{}); err != nil {
+			l.n.unanswered(heir, err)
+		}
+	}()
+}
+
+// take takes over a token from another instance.
+func (l *leaders) take(name string, token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := l.group(name).change.Take(l.n.now(), token)
+	l.n.log.Info("group: token taken over", "group", name, "token", token, "taken", taken)
+}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -35,6 +35,12 @@
 // LeadNote says that an upstream was promoted.
 type LeadNote struct{ Group, Upstream string }
 
+// TokenNote hands over an unused token of a group.
+type TokenNote struct {
+	Group string
+	Token uint64
+}
+
 // SuspectNote tells the instance that acts for a group what another one has seen.
 type SuspectNote struct{ Group, Upstream, Reason string }
 
@@ -134,6 +140,12 @@
 	return nil
 }
 
+// Token takes over a token from an instance that does not act for the group any more.
+func (s *service) Token(note TokenNote, _ *None) error {
+	s.n.leaders.take(note.Group, note.Token)
+	return nil
+}
+
 // Suspect takes in what another instance has seen of a primary.
 func (s *service) Suspect(note SuspectNote, _ *None) error {
 	s.n.leaders.suspect(note.Group, note.Upstream, note.Reason)
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -48,11 +48,13 @@
 
 // step moves one group on and reports whether a change is under way.
 func (l *leaders) step(ctx context.Context, name string) bool {
-	acting := l.n.acting(name).Address == l.n.self.Address && l.n.ready.Load()
+	heir := l.n.acting(name).Address
+	acting := heir == l.n.self.Address && l.n.ready.Load()
 	s := l.n.snapshot.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := l.group(name)
+	ceased := g.acts && !acting
 	if acting != g.acts {
 		g.acts = acting
 		l.n.log.Info("group: acting instance", "group", name, "acts", acting)
@@ -62,6 +64,9 @@
 			go l.perform(ctx, g, c)
 		}
 	}
+	if ceased {
+		l.handOver(ctx, g, heir)
+	}
 	if !acting && g.change.Phase() == failover.PhaseIdle || len(s.groups[name]) == 0 {
 		return false
 	}
--- a/io/postgres/caller.go
+++ b/io/postgres/caller.go
@@ -249,11 +249,12 @@
 		c.conn.CloseFlushed()
 	}
 	c.cancel()
-	c.server.remove(c)
 	if c.session != nil {
 		c.session.Close()
 	}
 	c.busy.Store(false)
+	// Drain returns once no caller is left, so that the session is closed before.
+	c.server.remove(c)
 }
 
 func (c *caller) handleMessage(f Frame) bool {
