--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -14,10 +14,6 @@
 //     are paused, and orders that it accepted before that get the time to take effect. So
 //     no order of another instance takes effect between the answers to the pauses and
 //     the own order.
-//   - An instance that does not act for the group any more gives its unused token to the
-//     one that does, since a token drawn by an instance that acted for a moment makes the
-//     older one of the other useless, and without the store none can be drawn. The giver
-//     forgets it, and the receiver treats it like one drawn while a rival exists.
 //   - An order without an answer may be carried out later, so it is repeated until it is
 //     answered.
 //   - A replica that was paused is never told to go on, since another instance may have
@@ -51,6 +47,10 @@
 	commandEvery = 450 * time.Millisecond
 	// retryEvery is the time between two attempts that were answered with an error.
 	retryEvery = 150 * time.Millisecond
+	// redrawPause is the time between the news of another instance's newer token and the own
+	// next draw. Two instances that both act for a while outdate each other's tokens, and
+	// agree on one of them within about a second.
+	redrawPause = time.Second
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
@@ -341,26 +341,13 @@
 	}
 }
 
-// Give gives up a token that was drawn and not used, for another instance, or returns 0.
-func (c *Ordered) Give() uint64 {
-	if c.phase != PhaseIdle {
-		return 0
+// Outdated takes in that another instance has drawn a newer token, which the platform may
+// have seen. An older one that is not in use is given up, so that another is drawn while
+// the store still answers.
+func (c *Ordered) Outdated(now time.Time, token uint64) {
+	if c.phase == PhaseIdle && c.token > 0 && token > c.token {
+		c.token, c.draw = 0, now.Add(redrawPause)
 	}
-	given := c.token
-	// Whoever holds it now may be a rival of the next token that is drawn here.
-	c.token, c.newest = 0, 0
-	return given
-}
-
-// Take takes over a token that another instance has given up, unless a newer one is at
-// hand or a change is under way, and reports whether it did.
-func (c *Ordered) Take(now time.Time, token uint64) bool {
-	if c.phase != PhaseIdle || token <= c.token {
-		return false
-	}
-	c.rival = true // older ones may not have been used
-	c.token, c.newest, c.raise, c.raised = token, token, now, time.Time{}
-	return true
 }
 
 // Raised takes in that the platform has seen a token or a higher one.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -4,12 +4,7 @@
 // promise.
 package placement
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "slices"
 
 // Instance is a live instance.
 type Instance struct {
@@ -38,21 +33,7 @@
 // ones by rendezvous hashing of their addresses, so that the loss of an instance moves
 // only the keys that it held. A zero place ranks by the hash alone.
 func Rank(key string, at Place, list []Instance) []Instance {
-	type row struct {
-		Instance
-		distance int
-		hash     uint64
-	}
-	rows := make([]row, len(list))
-	for i, in := range list {
-		rows[i] = row{Instance: in, hash: xxhash.Sum64String(key + "\x00" + in.Address)}
-		if at != (Place{}) {
-			rows[i].distance = at.Distance(Place{in.Domain, in.Region})
-		}
-	}
-	slices.SortFunc(rows, func(a, b row) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.hash, a.hash), cmp.Compare(a.Address, b.Address))
-	})
+	rows := rank(query{key, at}, list)
 	out := make([]Instance, len(rows))
 	for i, r := range rows {
 		out[i] = r.Instance
@@ -60,6 +41,15 @@
 	return out
 }
 
+func rank(q query, list []Instance) []row {
+	rows := make([]row, len(list))
+	for i, in := range list {
+		rows[i] = newRow(q, in)
+	}
+	slices.SortFunc(rows, row.compare)
+	return rows
+}
+
 // Leading reports whether the instance at an address is one of the first n in the list
 // that are fit. It counts as fit itself.
 func Leading(list []Instance, address string, n int, fit func(address string) bool) bool {
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -129,8 +129,7 @@
 	defer cancel()
 	note := HoldNote{u.Name, held}
 	running := l.n.gateways.Hold(u.Name, held)
-	list := l.n.snapshot.Load().ranked(u)
-	for _, i := range list[:min(len(list), 3)] {
+	for _, i := range l.n.snapshot.Load().first.Top(u.Name, u.place, 3) {
 		if i.Address == l.n.self.Address {
 			continue
 		}
@@ -157,6 +156,8 @@
 type token struct {
 	Token  uint64 `json:"token"`
 	Holder string `json:"holder"`
+	// Address is where other instances reach the holder.
+	Address string `json:"address"`
 	// Nonce tells the draws of a holder apart, so that a draw whose answer was lost can be
 	// recognized.
 	Nonce uint64 `json:"nonce"`
@@ -173,7 +174,7 @@
 		return
 	}
 	g.nonce++
-	next := token{Holder: l.n.self.ID, Nonce: g.nonce}
+	next := token{Holder: l.n.self.ID, Address: l.n.self.Address, Nonce: g.nonce}
 	l.mu.Unlock()
 	present, err := store.Get(ctx, KindPromotion, g.name)
 	var before token
@@ -207,6 +208,7 @@
 	}
 	l.n.log.Info("group: token drawn", "group", g.name, "token", next.Token, "before", before.Holder)
 	l.feed(func(now time.Time) { g.change.Drew(now, next.Token, before.Token) })
+	l.notify(ctx, g.name, next.Token, before)
 }
 
 // drew reads whether a draw without an answer has taken effect.
@@ -219,31 +221,26 @@
 	return json.Unmarshal(o.Data, &have) == nil && have == want
 }
 
-// handOver gives the unused token of a group to the instance that acts for it, which may be
-// unable to draw one: the store may be down, and this token has made older ones useless.
-// If the message is lost, so is the token. The lock is held.
-func (l *leaders) handOver(ctx context.Context, g *group, heir string) {
-	if heir == l.n.self.Address {
-		return // nobody else is there
-	}
-	token := g.change.Give()
-	if token == 0 {
+// notify tells the holder of a group's older token that a newer one was drawn. The platform
+// binds a token to the instance that shows it first, so that no token is handed over.
+func (l *leaders) notify(ctx context.Context, name string, drawn uint64, before token) {
+	if before.Address == "" || before.Address == l.n.self.Address {
 		return
 	}
-	l.n.log.Info("group: token handed over", "group", g.name, "token", token, "to", heir)
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if err := l.n.peers.Call(ctx, heir, "Node.Token", TokenNote{g.name, token}, &None{}); err != nil {
-			l.n.unanswered(heir, err)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.n.peers.Call(ctx, before.Address, "Node.Token", TokenNote{name, drawn}, &None{}); err != nil {
+		// The holder may have ended long ago, which says nothing about who runs there now.
+		l.n.log.Info("group: holder of the token before not told", "group", name, "token", drawn, "before", before.Holder, "err", err.Error())
+	}
 }
 
-// take takes over a token from another instance.
-func (l *leaders) take(name string, token uint64) {
+// outdated takes in that another instance has drawn a token.
+func (l *leaders) outdated(name string, token uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	taken := l.group(name).change.Take(l.n.now(), token)
-	l.n.log.Info("group: token taken over", "group", name, "token", token, "taken", taken)
+	g := l.group(name)
+	had := g.change.Drawn()
+	g.change.Outdated(l.n.now(), token)
+	l.n.log.Info("group: newer token drawn elsewhere", "group", name, "token", token, "given up", had && !g.change.Drawn())
 }
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -70,8 +70,6 @@
 	learned time.Time            // when owned became known
 	changed time.Time            // when the owner changed last
 	ended   string               // a holder that is known to have ended
-	ranked  *snapshot            // for which order was worked out
-	order   []placement.Instance // those that may come to hold the lease
 }
 
 func newLimits(n *Node) *limits {
@@ -351,11 +349,7 @@
 // successors returns the instances that may come to hold the lease, the first choice
 // first. The lock is held.
 func (l *limits) successors() []placement.Instance {
-	if s := l.n.snapshot.Load(); s != l.ranked {
-		list := placement.Rank(leaseName, placement.Place{}, s.instances)
-		l.ranked, l.order = s, list[:min(leaseDepth, len(list))]
-	}
-	return l.order
+	return l.n.snapshot.Load().first.Top(leaseName, placement.Place{}, leaseDepth)
 }
 
 // preceding returns the instances that may take the lease before this one.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -85,6 +85,8 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 
+	building sync.Mutex // held while a snapshot is built and put into force
+
 	mu      sync.Mutex
 	skipped map[string]uint64 // revisions of entries that were passed over
 	known   map[string]*knowledge
@@ -111,7 +113,7 @@
 		ID:      fmt.Sprintf("%s.%x", s.Name, rand.Uint64()),
 		Address: s.Advertise, Domain: s.Domain, Region: s.Region(s.Domain),
 	}
-	n.snapshot.Store(&snapshot{instances: []placement.Instance{n.self}, running: 1})
+	n.snapshot.Store(newSnapshot(n.self))
 	n.tables = newTables(n.platform.Store, log, n.now)
 	n.tables.changed = n.rebuild
 	n.tables.patience = n.patience
@@ -180,9 +182,11 @@
 
 // rebuild makes a new snapshot after a change of a table.
 func (n *Node) rebuild(k Kind) {
-	n.mu.Lock()
+	// Tables change in several goroutines. A snapshot that was built from older tables must
+	// not replace a newer one.
+	n.building.Lock()
+	defer n.building.Unlock()
 	before := n.snapshot.Load()
-	n.mu.Unlock()
 	s := n.build(before)
 	n.mu.Lock()
 	n.snapshot.Store(s)
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -35,7 +35,7 @@
 // LeadNote says that an upstream was promoted.
 type LeadNote struct{ Group, Upstream string }
 
-// TokenNote hands over an unused token of a group.
+// TokenNote tells the holder of an older token of a group which one was drawn after it.
 type TokenNote struct {
 	Group string
 	Token uint64
@@ -140,9 +140,9 @@
 	return nil
 }
 
-// Token takes over a token from an instance that does not act for the group any more.
+// Token notes that another instance has drawn a token.
 func (s *service) Token(note TokenNote, _ *None) error {
-	s.n.leaders.take(note.Group, note.Token)
+	s.n.leaders.outdated(note.Group, note.Token)
 	return nil
 }
 
@@ -253,12 +253,6 @@
 // the first ones that answer, as this instance sees it.
 func (n *Node) watchers(domain string) []string {
 	s := n.snapshot.Load()
-	var list []placement.Instance
-	for _, i := range s.instances {
-		if i.Domain == domain {
-			list = append(list, i)
-		}
-	}
 	most := 1
 	if len(s.instances) > pingAll {
 		most = watchersLarge
@@ -266,11 +260,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []string
-	for _, i := range placement.Rank("watch", placement.Place{}, list) {
-		if len(out) < most && (i.Address == n.self.Address || !n.suspected(i.Address, n.now())) {
+	s.first.Walk("watch", n.settings().Place(domain), func(i placement.Instance) bool {
+		if i.Domain != domain {
+			return false // those of the domain come first
+		}
+		if i.Address == n.self.Address || !n.suspected(i.Address, n.now()) {
 			out = append(out, i.Address)
 		}
-	}
+		return len(out) < most
+	})
 	return out
 }
 
@@ -338,15 +336,14 @@
 	if u == nil {
 		return false
 	}
-	list := s.ranked(u)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, i := range list {
-		if i.Address == n.self.Address || !n.suspected(i.Address, n.now()) {
-			return i.Address == n.self.Address
-		}
-	}
-	return false
+	own := false
+	s.first.Walk(u.Name, u.place, func(i placement.Instance) bool {
+		own = i.Address == n.self.Address
+		return !own && n.suspected(i.Address, n.now())
+	})
+	return own
 }
 
 // askTables gets newer tables from an instance.
@@ -381,15 +378,17 @@
 
 // acting returns the instance that acts for a key: the first that answers.
 func (n *Node) acting(key string) placement.Instance {
-	list := placement.Rank(key, placement.Place{}, n.snapshot.Load().instances)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, i := range list {
+	found := n.self
+	n.snapshot.Load().first.Walk(key, placement.Place{}, func(i placement.Instance) bool {
 		if i.Address == n.self.Address && !n.draining.Load() || i.Address != n.self.Address && !n.suspected(i.Address, n.now()) {
-			return i
+			found = i
+			return false
 		}
-	}
-	return n.self
+		return true
+	})
+	return found
 }
 
 // broadcast tells all instances that answer. It does not wait.
--- a/io/node/pings.go
+++ b/io/node/pings.go
@@ -81,15 +81,14 @@
 func (n *Node) pingLarge(s *snapshot, add func([]placement.Instance)) {
 	if n.watches() {
 		for _, u := range s.upstreams {
-			add(s.ranked(u)[:2])
+			add(s.first.Top(u.Name, u.place, 2))
 		}
 	}
 	for _, address := range n.watchers(n.self.Domain) {
 		add([]placement.Instance{{Address: address}})
 	}
 	for group := range s.policy.Groups {
-		list := placement.Rank(group, placement.Place{}, s.instances)
-		list = list[:min(successors, len(list))]
+		list := s.first.Top(group, placement.Place{}, successors)
 		if k := slices.IndexFunc(list, func(i placement.Instance) bool { return i.Address == n.self.Address }); k > 0 {
 			add(list[:k])
 		}
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -243,20 +243,20 @@
 	if !op.Grant.Allows(u.place.Region) || !u.fit && !n.graceful(snap, u, now) {
 		return choice{}, false
 	}
-	for _, g := range snap.ranked(u) {
+	var c choice
+	found := false
+	snap.first.Walk(u.Name, u.place, func(g placement.Instance) bool {
 		own := g.Address == n.self.Address
-		if !own && (!op.Grant.Allows(g.Region) || n.suspected(g.Address, now)) {
-			continue
-		}
-		if own && n.draining.Load() && len(snap.instances) > 1 {
-			continue
-		}
-		if now.Before(n.links[link{g.Address, u.Name}]) {
-			continue
+		switch {
+		case !own && (!op.Grant.Allows(g.Region) || n.suspected(g.Address, now)),
+			own && n.draining.Load() && len(snap.instances) > 1,
+			now.Before(n.links[link{g.Address, u.Name}]):
+			return true
 		}
-		return choice{up: u, gateway: g}, true
-	}
-	return choice{}, false
+		c, found = choice{up: u, gateway: g}, true
+		return false
+	})
+	return c, found
 }
 
 // graceful reports whether an upstream that leaves, or whose failure domain is out, may
@@ -454,12 +454,6 @@
 	}
 }
 
-// ranked returns the instances in the order in which they serve as gateways of u.
-func (s *snapshot) ranked(u *upstream) []placement.Instance {
-	u.rank.Do(func() { u.gateways = placement.Rank(u.Name, u.place, s.instances) })
-	return u.gateways
-}
-
 // account logs what has not succeeded and counts everything.
 func (n *Node) account(op *caller.Operation, s call.Statement, r call.Reply, took time.Duration) {
 	n.metrics.statement(op.Grant.Route, r, took)
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"slices"
-	"sync"
 
 	"burdockseam/core/access"
 	"burdockseam/core/config"
@@ -36,9 +35,6 @@
 	place   placement.Place
 	// fit says that it takes new work: it is not leaving and its domain is in.
 	fit bool
-
-	rank     sync.Once
-	gateways []placement.Instance
 }
 
 // snapshot is what an instance believes about the fleet, built from its tables. It is
@@ -51,8 +47,28 @@
 	// instances are those that take work, and all those that may be running.
 	instances []placement.Instance
 	running   int
+	// first has the begins of the ranks of instances.
+	first *placement.First
 	// objects are the names of the instances' objects, by address.
 	objects map[string]string
+	// policies are the revisions of the policies that were looked at, and entries what was
+	// read from the registry, both by name of the object. They are read again only when
+	// they change.
+	policies map[string]uint64
+	entries  map[string]decoded
+}
+
+// decoded is an entry of the registry as it was read.
+type decoded struct {
+	revision uint64
+	entry    Entry
+	err      error
+}
+
+// newSnapshot returns what an instance believes before it knows any table.
+func newSnapshot(self placement.Instance) *snapshot {
+	alone := []placement.Instance{self}
+	return &snapshot{instances: alone, running: 1, first: placement.NewFirst(alone)}
 }
 
 // member is the content of an instance's object.
@@ -70,8 +86,13 @@
 	s := &snapshot{
 		policy: before.policy, upstreams: make(map[string]*upstream),
 		groups: make(map[string][]*upstream), out: make(map[string]bool), objects: make(map[string]string),
+		policies: make(map[string]uint64), entries: make(map[string]decoded),
 	}
 	for _, o := range n.tables.get(KindPolicy).Objects {
+		s.policies[o.Name] = o.Revision
+		if before.policies[o.Name] == o.Revision {
+			continue
+		}
 		p, err := n.schema.Policy(o)
 		switch {
 		case err != nil:
@@ -83,18 +104,25 @@
 	for _, o := range n.tables.get(KindOut).Objects {
 		s.out[n.schema.Out(o)] = true
 	}
-	n.buildUpstreams(s)
+	n.buildUpstreams(s, before.entries)
 	n.buildInstances(s)
+	s.first = before.first.With(s.instances)
 	return s
 }
 
-func (n *Node) buildUpstreams(s *snapshot) {
+func (n *Node) buildUpstreams(s *snapshot, before map[string]decoded) {
 	for _, o := range n.tables.upstreams() {
-		e, err := n.schema.Upstream(o)
-		if err != nil {
-			n.skip(o, err)
+		d, ok := before[o.Name]
+		if !ok || d.revision != o.Revision {
+			e, err := n.schema.Upstream(o)
+			d = decoded{o.Revision, e, err}
+		}
+		s.entries[o.Name] = d
+		if d.err != nil {
+			n.skip(o, d.err)
 			continue
 		}
+		e := d.entry
 		if _, ok := s.policy.Groups[e.Group]; !ok {
 			n.skip(o, Error.New("no such group %q", e.Group))
 			continue
@@ -142,4 +170,5 @@
 		s.instances = append(s.instances, n.self)
 		s.running++
 	}
+	slices.SortFunc(s.instances, func(a, b placement.Instance) int { return cmp.Compare(a.Address, b.Address) })
 }
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -48,13 +48,11 @@
 
 // step moves one group on and reports whether a change is under way.
 func (l *leaders) step(ctx context.Context, name string) bool {
-	heir := l.n.acting(name).Address
-	acting := heir == l.n.self.Address && l.n.ready.Load()
+	acting := l.n.acting(name).Address == l.n.self.Address && l.n.ready.Load()
 	s := l.n.snapshot.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := l.group(name)
-	ceased := g.acts && !acting
 	if acting != g.acts {
 		g.acts = acting
 		l.n.log.Info("group: acting instance", "group", name, "acts", acting)
@@ -64,9 +62,6 @@
 			go l.perform(ctx, g, c)
 		}
 	}
-	if ceased {
-		l.handOver(ctx, g, heir)
-	}
 	if !acting && g.change.Phase() == failover.PhaseIdle || len(s.groups[name]) == 0 {
 		return false
 	}
@@ -289,7 +284,7 @@
 	}
 	var out, rest []string
 	seen := make(map[string]bool)
-	for _, i := range placement.Rank(key, placement.Place{}, l.n.snapshot.Load().instances) {
+	l.n.snapshot.Load().first.Walk(key, placement.Place{}, func(i placement.Instance) bool {
 		switch {
 		case !alive[i.Address]:
 		case seen[i.Domain]:
@@ -298,7 +293,8 @@
 			seen[i.Domain] = true
 			out = append(out, i.Address)
 		}
-	}
+		return len(out) < witnesses
+	})
 	out = append(out, rest...)
 	return out[:min(len(out), witnesses)]
 }
