--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -66,10 +66,10 @@
 	closed  bool
 	looked  time.Time
 	looking bool
-	owned   lease.SoleRecord     // the newest lease known, also from others
-	learned time.Time            // when owned became known
-	changed time.Time            // when the owner changed last
-	ended   string               // a holder that is known to have ended
+	owned   lease.SoleRecord // the newest lease known, also from others
+	learned time.Time        // when owned became known
+	changed time.Time        // when the owner changed last
+	ended   string           // a holder that is known to have ended
 }
 
 func newLimits(n *Node) *limits {
