Draw tokens in advance only after a second of acting for the group

An instance that starts sees only itself until it has read the table of instances again, took itself for the acting instance of every group, and drew and showed a token for each: instances times groups times three calls. A change under way draws at once.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -51,6 +51,10 @@
 	// next draw. Two instances that both act for a while outdate each other's tokens, and
 	// agree on one of them within about a second.
 	redrawPause = time.Second
+	// drawAfter is the time for which an instance must have acted for a group before it
+	// draws a token in advance. An instance that starts sees only itself until it has read
+	// the table of instances again, and would draw for every group of the fleet.
+	drawAfter = time.Second
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
@@ -82,6 +86,7 @@
 	since    time.Time // start of the phase
 	next     time.Time // first time for another command of the phase
 	draw     time.Time // first time for another draw
+	advance  time.Time // first time for a draw without a change under way
 	token    uint64    // drawn and unused, or in use
 	newest   uint64    // the last token that was drawn here
 	rival    bool      // another instance may hold an older token that the platform accepts
@@ -172,6 +177,9 @@
 	}
 }
 
+// Acts takes in that this instance begins to act for the group.
+func (c *Ordered) Acts(now time.Time) { c.advance = now.Add(drawAfter) }
+
 // Abandon gives up a change for an instance that does not act for the group any more,
 // unless it has paused a replica. If its order was refused, another instance has ordered
 // and carries that through, so that the change is given up then, too.
@@ -189,7 +197,7 @@
 // Tick returns the commands that are due.
 func (c *Ordered) Tick(now time.Time) []Command {
 	var out []Command
-	if c.token == 0 && !now.Before(c.draw) {
+	if c.token == 0 && !now.Before(c.draw) && (c.phase != PhaseIdle || !now.Before(c.advance)) {
 		c.draw = now.Add(commandEvery)
 		out = append(out, Command{Action: ActionDraw})
 	}
@@ -346,7 +354,7 @@
 // the store still answers.
 func (c *Ordered) Outdated(now time.Time, token uint64) {
 	if c.phase == PhaseIdle && c.token > 0 && token > c.token {
-		c.token, c.draw = 0, now.Add(redrawPause)
+		c.token, c.advance = 0, now.Add(redrawPause)
 	}
 }
 
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -276,6 +276,24 @@
 	t.Fatalf("the change is still in phase %s", x.change.Phase())
 }
 
+// TestOrderedDraws guards against a token for each group of the fleet that is drawn by each
+// instance that starts, and against a change that waits for its token.
+func TestOrderedDraws(t *testing.T) {
+	draws := func(x *Ordered, now time.Time) bool {
+		return slices.ContainsFunc(x.Tick(now), func(c Command) bool { return c.Action == ActionDraw })
+	}
+	x := newOrderedWorld(1).actors[0].change
+	x.Acts(epoch)
+	if draws(x, epoch.Add(drawAfter-1)) || !draws(x, epoch.Add(drawAfter)) {
+		t.Error("a token is not drawn in advance after drawAfter")
+	}
+	x = newOrderedWorld(1).actors[0].change
+	x.Acts(epoch)
+	if !x.Start(epoch, false, "test") || !draws(x, epoch) {
+		t.Error("a change waits for its token")
+	}
+}
+
 // TestOrderedOutdated guards against a group that nobody can promote while the store is
 // down, since an instance that acted for a moment has drawn a newer token and shown it.
 func TestOrderedOutdated(t *testing.T) {
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -54,7 +54,9 @@
 	defer l.mu.Unlock()
 	g := l.group(name)
 	if acting != g.acts {
-		g.acts = acting
+		if g.acts = acting; acting {
+			g.change.Acts(l.n.now())
+		}
 		l.n.log.Info("group: acting instance", "group", name, "acts", acting)
 	}
 	if !acting {
