Send what has changed of a table, not the whole table, between instances

An update carries the objects that changed and the names of those that are gone. Its digest is checked; one that does not fit is replaced by the whole table.

--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -68,11 +68,11 @@
 // OwnerNote tells who owns the limits now, or that nobody does.
 type OwnerNote struct{ Lease lease.SoleRecord }
 
-// TablesAsk asks for copies of tables that are newer than these.
+// TablesAsk asks for updates to tables of which the asking instance has these copies.
 type TablesAsk struct{ Have map[Kind]Mark }
 
 // TablesReply answers it.
-type TablesReply struct{ Tables []Table }
+type TablesReply struct{ Updates []Update }
 
 // ProbeReply tells whether an instance reaches an upstream.
 type ProbeReply struct {
@@ -171,9 +171,9 @@
 	return nil
 }
 
-// Tables gives copies of tables.
+// Tables gives updates to tables.
 func (s *service) Tables(a TablesAsk, reply *TablesReply) error {
-	reply.Tables = s.n.tables.newer(a.Have)
+	reply.Updates = s.n.tables.newer(a.Have)
 	return nil
 }
 
@@ -350,14 +350,23 @@
 func (n *Node) askTables(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply TablesReply
-	if err := n.peers.Call(ctx, address, "Node.Tables", TablesAsk{Have: n.tables.marks()}, &reply); err != nil {
-		n.unanswered(address, err)
-		return
-	}
-	for _, t := range reply.Tables {
-		if n.tables.install(t) {
-			n.log.V(1).Info("peer: table taken over", "peer", address, "kind", t.Kind, "revision", t.Revision)
+	have := n.tables.marks()
+	for again := true; again; {
+		again = false
+		var reply TablesReply
+		if err := n.peers.Call(ctx, address, "Node.Tables", TablesAsk{have}, &reply); err != nil {
+			n.unanswered(address, err)
+			return
+		}
+		for _, u := range reply.Updates {
+			changed, fits := n.tables.apply(u)
+			if changed || !fits {
+				n.log.V(1).Info("peer: table taken over", "peer", address, "kind", u.Kind, "revision", u.Revision, "whole", u.Whole, "objects", len(u.Objects), "fits", fits)
+			}
+			if !fits {
+				have[u.Kind] = Mark{} // asks for the whole table
+				again = true
+			}
 		}
 	}
 }
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -123,6 +123,7 @@
 
 	mu       sync.Mutex
 	all      map[Kind]Table
+	removed  map[Kind]removals
 	vanished map[string]vanished
 	lost     map[Kind]time.Time // since when the store does not answer
 	heard    time.Time          // newest answer of the store
@@ -144,7 +145,7 @@
 func newTables(s Store, log logr.Logger, now func() time.Time) *tables {
 	return &tables{
 		store: s, log: log, now: now, all: make(map[Kind]Table),
-		vanished: make(map[string]vanished), lost: make(map[Kind]time.Time),
+		removed: make(map[Kind]removals), vanished: make(map[string]vanished), lost: make(map[Kind]time.Time),
 	}
 }
 
@@ -200,6 +201,7 @@
 		t.vanish(before, next)
 	}
 	next.Digest = digest(next.Kind, next.Objects)
+	t.removed[next.Kind] = t.removed[next.Kind].next(before, next)
 	t.all[next.Kind] = next
 	t.mu.Unlock()
 	if before.Digest != next.Digest || before.Revision == 0 {
@@ -226,19 +228,6 @@
 // Mark tells which copy of a table an instance has.
 type Mark struct{ Revision, Digest uint64 }
 
-// newer returns the copies that are newer than what another instance has, and differ.
-func (t *tables) newer(have map[Kind]Mark) []Table {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Table
-	for _, k := range watched {
-		if own := t.all[k]; own.Revision > have[k].Revision && own.Digest != have[k].Digest {
-			out = append(out, own)
-		}
-	}
-	return out
-}
-
 // sum tells copies of the tables apart by their content.
 func (t *tables) sum() uint64 {
 	t.mu.Lock()
--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -61,6 +61,15 @@
 			t.Errorf("newer %v", got)
 		}
 	})
+	t.Run("an update that does not fit changes nothing", func(t *testing.T) {
+		now := time.Unix(0, 0)
+		x, changes := newTestTables(&now)
+		x.install(table(KindOut, 5, "a"))
+		u := Update{Table: Table{Kind: KindOut, Revision: 7, Digest: 1}}
+		if changed, fits := x.apply(u); changed || fits || len(*changes) != 1 {
+			t.Errorf("changed %v, fits %v", changed, fits)
+		}
+	})
 	t.Run("an upstream counts for a while after its entry is gone", func(t *testing.T) {
 		// Entries that expired during a store outage come back within two seconds.
 		now := time.Unix(0, 0)
