--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -55,6 +55,11 @@
 	// draws a token in advance. An instance that starts sees only itself until it has read
 	// the table of instances again, and would draw for every group of the fleet.
 	drawAfter = time.Second
+	// raiseIdle is the time between the first two attempts to show a token while no change is
+	// under way. It doubles up to raiseIdleMost: the platform answers a few calls a second
+	// from the whole fleet, and orders must not be refused for the sake of these.
+	raiseIdle     = 3 * time.Second
+	raiseIdleMost = time.Minute
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
@@ -92,8 +97,9 @@
 	rival    bool      // another instance may hold an older token that the platform accepts
 	refused  bool      // the last order was refused
 	random   *rand.Rand
-	raise    time.Time // first time for another raise
-	raised   time.Time // when the platform had seen the token; zero if it has not
+	raise    time.Time     // first time for another raise
+	rest     time.Duration // between two raises while no change is under way
+	raised   time.Time     // when the platform had seen the token; zero if it has not
 	planned  bool
 	held     string // the upstream whose new work is stopped
 	target   string
@@ -144,6 +150,7 @@
 		return false
 	}
 	c.planned, c.reason, c.target, c.refused = planned, reason, "", false
+	c.raise = now
 	c.enter(now, PhaseSurvey)
 	return true
 }
@@ -203,6 +210,10 @@
 	}
 	if c.token > 0 && c.rival && c.raised.IsZero() && !now.Before(c.raise) {
 		c.raise = now.Add(commandEvery)
+		if c.phase == PhaseIdle {
+			c.rest = min(max(raiseIdle, 2*c.rest), raiseIdleMost)
+			c.raise = now.Add(c.rest)
+		}
 		out = append(out, Command{Action: ActionRaise, Token: c.token})
 	}
 	switch c.phase {
@@ -343,7 +354,7 @@
 		return
 	}
 	c.rival = before != 0 && before != c.newest
-	c.token, c.newest, c.raise, c.raised = token, token, now, time.Time{}
+	c.token, c.newest, c.raise, c.raised, c.rest = token, token, now, time.Time{}, 0
 	if c.rival && c.refused {
 		c.raise = now.Add(time.Duration(c.random.Int64N(int64(duelPause))))
 	}
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -294,6 +294,34 @@
 	}
 }
 
+// TestOrderedRaises guards against orders that the platform turns away since idle groups
+// show their tokens again and again: 3,794 of 3,920 such calls were refused for their rate
+// in the first seconds of a day with 203 groups.
+func TestOrderedRaises(t *testing.T) {
+	x := newOrderedWorld(1).actors[0].change
+	x.Drew(epoch, 2, 1)
+	raises := 0
+	count := func(from, to time.Duration) {
+		for at := from; at < to; at += 50 * time.Millisecond {
+			for _, c := range x.Tick(epoch.Add(at)) {
+				if c.Action == ActionRaise {
+					raises++
+				}
+			}
+		}
+	}
+	count(0, time.Minute)
+	if raises > 6 {
+		t.Errorf("%d calls in a minute without a change", raises)
+	}
+	x.Start(epoch.Add(time.Minute), false, "test")
+	raises = 0
+	count(time.Minute, time.Minute+2*commandEvery)
+	if raises != 2 {
+		t.Errorf("%d calls while a change waits for them", raises)
+	}
+}
+
 // TestOrderedOutdated guards against a group that nobody can promote while the store is
 // down, since an instance that acted for a moment has drawn a newer token and shown it.
 func TestOrderedOutdated(t *testing.T) {
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -150,6 +150,7 @@
 	if err := l.n.tables.list(ctx, KindUpstream, l.n.platform.Store.List); err != nil {
 		l.n.log.Info("group: registry not read before the order", "err", err.Error())
 	}
+	l.n.rebuild() // an upstream that is new in the list must pause before the order
 }
 
 // token is the content of the object from which a group's tokens are drawn.
--- /dev/null
+++ b/io/node/large_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"burdockseam/core/placement"
+)
+
+// newLargeNode returns an instance of a fleet of 100 with 200 groups.
+func newLargeNode(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Settings{Name: "a", Domain: "d0", Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Advertise: "10.0.0.0"}, Platform{Schema: largeSchema{groups: 200}}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.tables.install(Table{Kind: KindPolicy, Revision: 1, Objects: map[string]Object{"main": {Name: "main", Revision: 1}}})
+	fleet := Table{Kind: KindInstance, Revision: 1, Objects: make(map[string]Object)}
+	registry := Table{Kind: KindUpstream, Revision: 1, Objects: make(map[string]Object)}
+	for k := range 100 {
+		data, err := json.Marshal(member{ID: fmt.Sprint(k), Address: fmt.Sprint("10.0.0.", k), Domain: fmt.Sprint("d", k%6)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet.Objects[fmt.Sprint(k)] = Object{Name: fmt.Sprint(k), Revision: 1, Data: data}
+	}
+	for k := range 600 {
+		name := fmt.Sprint("u", k)
+		registry.Objects[name] = Object{Name: name, Revision: 1, Data: fmt.Appendf(nil, "g%d d%d active", k/3, k%6)}
+	}
+	n.tables.install(fleet)
+	n.tables.install(registry)
+	n.rebuild()
+	return n
+}
+
+// TestCutOffInstance guards against an instance that takes on every group since nobody
+// answers it: it probed all primaries and drew tokens for all groups, which made the
+// overload that it suffered from worse.
+func TestCutOffInstance(t *testing.T) {
+	n := newLargeNode(t)
+	for _, i := range n.snapshot.Load().instances {
+		if i.Address != n.self.Address {
+			n.unanswered(i.Address, errors.New("no answer"))
+			n.unanswered(i.Address, errors.New("no answer"))
+		}
+	}
+	acts := 0
+	for k := range 200 {
+		if n.acting(fmt.Sprint("g", k)).Address == n.self.Address {
+			acts++
+		}
+	}
+	if acts == 0 || acts > 3*actDepth*200/100 {
+		t.Errorf("acts for %d groups of 200", acts)
+	}
+}
+
+// TestActingOfFew guards against a group for which nobody acts in a small fleet.
+func TestActingOfFew(t *testing.T) {
+	n := newLargeNode(t)
+	list := n.snapshot.Load().first.Top("g0", placement.Place{}, actDepth)
+	for k := range actDepth - 1 {
+		if got := n.acting("g0").Address; got != list[k].Address {
+			t.Errorf("%s acts after %d are lost, not %s", got, k, list[k].Address)
+		}
+		n.unanswered(list[k].Address, errors.New("no answer"))
+		n.unanswered(list[k].Address, errors.New("no answer"))
+	}
+}
+
+// TestWatcherPings guards against a watcher that pings every gateway of a large fleet each
+// time, and against one that forgets a gateway which has just not answered.
+func TestWatcherPings(t *testing.T) {
+	n := newLargeNode(t)
+	s := n.snapshot.Load()
+	missing := n.someGateways(s)[0].Address
+	n.unanswered(missing, errors.New("no answer"))
+	for range 20 {
+		list := n.someGateways(s)
+		if len(list) != pingMost || list[0].Address != missing {
+			t.Fatalf("%d pings, first %s, not %s", len(list), list[0].Address, missing)
+		}
+	}
+}
+
+// TestMayAsk guards against a request for tables after each ping of each watcher.
+func TestMayAsk(t *testing.T) {
+	n := newLargeNode(t)
+	asked := 0
+	for range 100 {
+		if n.mayAsk() {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times at once", asked)
+	}
+}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -54,10 +54,18 @@
 	shard = "0"
 )
 
+// inForce is what the limits of an instance depend on.
+type inForce struct {
+	version uint64
+	running int
+	spare   float64
+}
+
 type limits struct {
 	n *Node
 
 	mu      sync.Mutex
+	inForce inForce
 	reserve *quota.Reserve
 	holder  *quota.Holder
 	owner   *quota.Owner
@@ -83,6 +91,13 @@
 
 // configure puts the limits of a snapshot into force.
 func (l *limits) configure(s *snapshot) {
+	in := inForce{s.policy.Version, s.running, l.n.settings().Spare}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if in == l.inForce {
+		return
+	}
+	l.inForce = in
 	now := l.n.now()
 	own := make(map[string]config.Team, len(s.policy.Teams))
 	granted := make(map[string]config.Team, len(s.policy.Teams))
@@ -90,8 +105,6 @@
 		own[name] = t.Team
 		granted[name] = quota.OwnerPart(t.Team, s.running, l.n.settings().Spare*spareShare)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.reserve.Configure(now, s.running, l.n.settings().Spare*spareShare, own)
 	l.holder.Configure(now, granted)
 	l.owner.Configure(now, granted)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,12 +88,17 @@
 	building sync.Mutex // held while a snapshot is built and put into force
 
 	mu      sync.Mutex
+	dirty   map[Kind]bool     // tables that changed since the last snapshot
+	pending bool              // a snapshot will be built at calm
+	busy    bool              // one is being built
+	calm    time.Time         // no snapshot is built before
 	skipped map[string]uint64 // revisions of entries that were passed over
 	known   map[string]*knowledge
 	remote  map[string]*remote // other instances, by address
 	links   map[link]time.Time // gateways that can't reach an upstream, until when
 	born    map[string]int64
 	unfit   map[string]time.Time // since when an upstream takes no new work
+	asked   time.Time            // when this instance last asked for tables
 	change  chan struct{}        // closed when routing may decide differently
 }
 
@@ -102,7 +107,7 @@
 	n := &Node{
 		platform: p, schema: p.Schema, log: log, now: boottime.Now,
 		metrics: newNodeMetrics(),
-		skipped: make(map[string]uint64), known: make(map[string]*knowledge),
+		dirty:   make(map[Kind]bool), skipped: make(map[string]uint64), known: make(map[string]*knowledge),
 		remote: make(map[string]*remote), links: make(map[link]time.Time),
 		born: make(map[string]int64), unfit: make(map[string]time.Time),
 		change: make(chan struct{}),
@@ -115,7 +120,7 @@
 	}
 	n.snapshot.Store(newSnapshot(n.self))
 	n.tables = newTables(n.platform.Store, log, n.now)
-	n.tables.changed = n.rebuild
+	n.tables.changed = n.tableChanged
 	n.tables.patience = n.patience
 	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
 	n.limits = newLimits(n)
@@ -180,53 +185,6 @@
 	return err
 }
 
-// rebuild makes a new snapshot after a change of a table.
-func (n *Node) rebuild(k Kind) {
-	// Tables change in several goroutines. A snapshot that was built from older tables must
-	// not replace a newer one.
-	n.building.Lock()
-	defer n.building.Unlock()
-	before := n.snapshot.Load()
-	s := n.build(before)
-	n.mu.Lock()
-	n.snapshot.Store(s)
-	var forget []string
-	now := n.now()
-	for name, u := range s.upstreams {
-		if born, ok := n.born[name]; ok && born != u.Born {
-			forget = append(forget, name)
-			delete(n.known, name)
-		}
-		n.born[name] = u.Born
-		if _, ok := n.unfit[name]; !ok && !u.fit {
-			n.unfit[name] = now
-			n.log.Info("registry: upstream takes no new work", "upstream", name, "state", u.State, "out", s.out[u.Domain], "revision", u.changed)
-		} else if u.fit {
-			delete(n.unfit, name)
-		}
-	}
-	for name := range n.born {
-		if s.upstreams[name] == nil {
-			forget = append(forget, name)
-			delete(n.born, name)
-			delete(n.unfit, name)
-			delete(n.known, name)
-		}
-	}
-	n.mu.Unlock()
-	for _, name := range forget {
-		n.gateways.Forget(name)
-	}
-	if k == KindPolicy && s.policy.Version != before.policy.Version {
-		n.log.Info("config: in force", "version", s.policy.Version, "replaced", before.policy.Version, "routes", len(s.policy.Routes))
-	}
-	n.metrics.version.Set(float64(s.policy.Version))
-	n.limits.configure(s)
-	n.leaders.configure(s)
-	n.wake()
-	n.spread(k)
-}
-
 // wake lets statements that wait for a change look again.
 func (n *Node) wake() {
 	n.mu.Lock()
@@ -366,6 +324,6 @@
 	s.Peer, s.Advertise = before.Peer, before.Advertise
 	s.Store, s.Promoter, s.Seeds, s.Callers = before.Store, before.Promoter, before.Seeds, before.Callers
 	n.set.Store(&s)
-	n.rebuild(KindInstance)
+	n.tableChanged(KindInstance)
 	n.log.Info("settings: reloaded", "ignored", fixed)
 }
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -279,6 +279,16 @@
 	// watchersLarge is the number of watchers of a failure domain of a large fleet, in
 	// which the other instances do not watch at all.
 	watchersLarge = 2
+	// actDepth is the number of instances that may come to act for a group. One that is cut
+	// off or overloaded finds that nobody answers, and must not take on every group of a
+	// large fleet. With half of the instances lost, all of eight are once in 256 times.
+	actDepth = 8
+	// askEvery is the least time between two requests for tables of an instance of a large
+	// fleet, which several watchers tell of every change.
+	askEvery = 200 * time.Millisecond
+	// watchPause is the time in which changes of the registry are gathered by a watcher of a
+	// large fleet after one.
+	watchPause = 100 * time.Millisecond
 	// gather is the time in which changes of instances are gathered into one answer.
 	gather = 700 * time.Millisecond
 	// lookEvery is the least time between two looks at the store of an instance that does
@@ -300,6 +310,8 @@
 		return refresh{pause: gather, wait: watchWait}
 	case !watches:
 		return refresh{wait: watchWait}
+	case large && k == KindUpstream:
+		return refresh{pause: watchPause, wait: bound/4 + rand.N(bound/4)}
 	}
 	return refresh{wait: bound/4 + rand.N(bound/4)}
 }
@@ -348,6 +360,9 @@
 
 // askTables gets newer tables from an instance.
 func (n *Node) askTables(ctx context.Context, address string) {
+	if !n.mayAsk() {
+		return // the next ping shows the difference again
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	have := n.tables.marks()
@@ -371,6 +386,21 @@
 	}
 }
 
+// mayAsk reports whether it is time to ask for tables.
+func (n *Node) mayAsk() bool {
+	if len(n.snapshot.Load().instances) <= pingAll {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	if now.Sub(n.asked) < askEvery {
+		return false
+	}
+	n.asked = now
+	return true
+}
+
 // others returns the addresses of the instances that answer.
 func (n *Node) others() []string {
 	s := n.snapshot.Load()
@@ -385,19 +415,18 @@
 	return out
 }
 
-// acting returns the instance that acts for a key: the first that answers.
+// acting returns the instance that acts for a key: the first that answers among the first
+// few, or the first one of all.
 func (n *Node) acting(key string) placement.Instance {
+	list := n.snapshot.Load().first.Top(key, placement.Place{}, actDepth)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	found := n.self
-	n.snapshot.Load().first.Walk(key, placement.Place{}, func(i placement.Instance) bool {
+	for _, i := range list {
 		if i.Address == n.self.Address && !n.draining.Load() || i.Address != n.self.Address && !n.suspected(i.Address, n.now()) {
-			found = i
-			return false
+			return i
 		}
-		return true
-	})
-	return found
+	}
+	return list[0]
 }
 
 // broadcast tells all instances that answer. It does not wait.
--- a/io/node/pings.go
+++ b/io/node/pings.go
@@ -4,6 +4,7 @@
 // limits have changed.
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -28,6 +29,9 @@
 	// pingMore that of the instance which removes the objects of lost ones.
 	pingSome = 1
 	pingMore = 6
+	// pingMost bounds the gateways that a watcher pings each time. Two watchers of a failure
+	// domain then ping each of a hundred gateways about every half second.
+	pingMost = 48
 	// pingSuspects is the part of the suspect instances that is pinged each time, so that
 	// one that is back is used again within seconds.
 	pingSuspects = 0.4
@@ -80,9 +84,7 @@
 // pingLarge chooses whom to ping in a large fleet.
 func (n *Node) pingLarge(s *snapshot, add func([]placement.Instance)) {
 	if n.watches() {
-		for _, u := range s.upstreams {
-			add(s.first.Top(u.Name, u.place, 2))
-		}
+		add(n.someGateways(s))
 	}
 	for _, address := range n.watchers(n.self.Domain) {
 		add([]placement.Instance{{Address: address}})
@@ -111,6 +113,32 @@
 	}
 }
 
+// someGateways returns the gateways that a watcher pings this time: those that have not
+// answered the last ping, and as many others as pingMost allows.
+func (n *Node) someGateways(s *snapshot) []placement.Instance {
+	var list []placement.Instance
+	seen := make(map[string]bool)
+	for _, u := range s.upstreams {
+		for _, i := range s.first.Top(u.Name, u.place, 2) {
+			if !seen[i.Address] {
+				seen[i.Address] = true
+				list = append(list, i)
+			}
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	missing := func(i placement.Instance) int {
+		if r := n.remote[i.Address]; r != nil && r.failures > 0 && !r.suspect {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(a, b placement.Instance) int { return cmp.Compare(missing(a), missing(b)) })
+	return list[:min(pingMost, len(list))]
+}
+
 // storeless reports whether the store has not answered this instance for a while.
 func (n *Node) storeless() bool { return n.tables.silent() >= storelessAfter }
 
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"burdockseam/core/access"
 	"burdockseam/core/config"
@@ -172,3 +173,91 @@
 	}
 	slices.SortFunc(s.instances, func(a, b placement.Instance) int { return cmp.Compare(a.Address, b.Address) })
 }
+
+// buildShare bounds the time spent on building snapshots while tables change all the time,
+// as when a large fleet starts: a snapshot that took a millisecond is not followed by
+// another one before nine more have passed.
+const buildShare = 0.1
+
+// tableChanged has a new snapshot built, at once or after a pause.
+func (n *Node) tableChanged(k Kind) {
+	n.mu.Lock()
+	n.dirty[k] = true
+	pause := n.calm.Sub(n.now())
+	later := n.pending || n.busy
+	if !later && pause > 0 {
+		n.pending, later = true, true
+		time.AfterFunc(pause, n.rebuild)
+	}
+	n.mu.Unlock()
+	if !later {
+		n.rebuild()
+	}
+}
+
+// rebuild makes a new snapshot if tables have changed since the last one. It returns when
+// all changes before the call are in force.
+func (n *Node) rebuild() {
+	// Tables change in several goroutines. A snapshot that was built from older tables must
+	// not replace a newer one.
+	n.building.Lock()
+	defer n.building.Unlock()
+	n.mu.Lock()
+	changed := n.dirty
+	n.dirty, n.pending, n.busy = make(map[Kind]bool), false, len(changed) > 0
+	n.mu.Unlock()
+	if len(changed) == 0 {
+		return
+	}
+	began := n.now()
+	before := n.snapshot.Load()
+	s := n.build(before)
+	n.mu.Lock()
+	n.snapshot.Store(s)
+	var forget []string
+	now := n.now()
+	for name, u := range s.upstreams {
+		if born, ok := n.born[name]; ok && born != u.Born {
+			forget = append(forget, name)
+			delete(n.known, name)
+		}
+		n.born[name] = u.Born
+		if _, ok := n.unfit[name]; !ok && !u.fit {
+			n.unfit[name] = now
+			n.log.Info("registry: upstream takes no new work", "upstream", name, "state", u.State, "out", s.out[u.Domain], "revision", u.changed)
+		} else if u.fit {
+			delete(n.unfit, name)
+		}
+	}
+	for name := range n.born {
+		if s.upstreams[name] == nil {
+			forget = append(forget, name)
+			delete(n.born, name)
+			delete(n.unfit, name)
+			delete(n.known, name)
+		}
+	}
+	n.mu.Unlock()
+	for _, name := range forget {
+		n.gateways.Forget(name)
+	}
+	if s.policy.Version != before.policy.Version {
+		n.log.Info("config: in force", "version", s.policy.Version, "replaced", before.policy.Version, "routes", len(s.policy.Routes))
+	}
+	n.metrics.version.Set(float64(s.policy.Version))
+	n.limits.configure(s)
+	n.leaders.configure(s)
+	n.wake()
+	for k := range changed {
+		n.spread(k)
+	}
+	now = n.now()
+	pause := time.Duration(float64(now.Sub(began)) * (1/buildShare - 1))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.busy, n.calm = false, now.Add(pause)
+	if len(n.dirty) > 0 {
+		n.pending = true
+		time.AfterFunc(pause, n.rebuild)
+	}
+}
--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -222,6 +222,7 @@
 	close(schema.release)
 	<-first
 	<-second
+	n.rebuild() // the second one comes after a pause
 	if s := n.snapshot.Load(); !s.out["d1"] || s.upstreams["u"].fit {
 		t.Errorf("failure domains that are out: %v, upstream %+v", s.out, s.upstreams["u"])
 	}
