--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -91,13 +92,28 @@
 // TestMayAsk guards against a request for tables after each ping of each watcher.
 func TestMayAsk(t *testing.T) {
 	n := newLargeNode(t)
-	asked := 0
-	for range 100 {
-		if n.mayAsk() {
-			asked++
+	now := time.Unix(100, 0)
+	n.now = func() time.Time { return now }
+	near, far := "10.0.0.6", "10.0.0.7" // failure domains without a region are their own
+	asked := make(map[string]int)
+	for range 1000 {
+		for _, address := range []string{far, near} {
+			if n.mayAsk(address) {
+				asked[address]++
+			}
 		}
+		now = now.Add(10 * time.Millisecond)
 	}
-	if asked != 1 {
-		t.Errorf("asked %d times at once", asked)
+	if asked[near] < 45 || asked[near] > 51 || asked[far] > 1 {
+		t.Errorf("asked in 10 s: %v", asked)
+	}
+	for range 1000 {
+		if n.mayAsk(far) {
+			asked[far]++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if asked[far] < 9 || asked[far] > 11 {
+		t.Errorf("asked others in 10 s without one near: %v", asked)
 	}
 }
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -3,6 +3,7 @@
 // What instances ask of each other. All calls may be repeated.
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -286,6 +287,9 @@
 	// askEvery is the least time between two requests for tables of an instance of a large
 	// fleet, which several watchers tell of every change.
 	askEvery = 200 * time.Millisecond
+	// askFar is the same for instances of other regions: the watchers of the own region know
+	// most changes as early, and traffic between regions costs more.
+	askFar = time.Second
 	// watchPause is the time in which changes of the registry are gathered by a watcher of a
 	// large fleet after one.
 	watchPause = 100 * time.Millisecond
@@ -326,7 +330,8 @@
 	}
 }
 
-// askAnyone gets newer tables from an instance that answers.
+// askAnyone gets newer tables from an instance that answers, one of the own region if there
+// is any.
 func (n *Node) askAnyone(ctx context.Context) {
 	addresses := n.others()
 	if len(addresses) == 0 {
@@ -335,6 +340,16 @@
 	if len(addresses) == 0 {
 		return
 	}
+	s := n.snapshot.Load()
+	var region []string
+	for _, a := range addresses {
+		if n.near(s, a) {
+			region = append(region, a)
+		}
+	}
+	if len(region) > 0 {
+		addresses = region
+	}
 	address := addresses[rand.IntN(len(addresses))]
 	if address != n.self.Address {
 		n.askTables(ctx, address)
@@ -360,7 +375,7 @@
 
 // askTables gets newer tables from an instance.
 func (n *Node) askTables(ctx context.Context, address string) {
-	if !n.mayAsk() {
+	if !n.mayAsk(address) {
 		return // the next ping shows the difference again
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -386,21 +401,32 @@
 	}
 }
 
-// mayAsk reports whether it is time to ask for tables.
-func (n *Node) mayAsk() bool {
-	if len(n.snapshot.Load().instances) <= pingAll {
+// mayAsk reports whether it is time to ask an instance for tables.
+func (n *Node) mayAsk(address string) bool {
+	s := n.snapshot.Load()
+	if len(s.instances) <= pingAll {
 		return true
 	}
+	pause := askFar
+	if n.near(s, address) {
+		pause = askEvery
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if now.Sub(n.asked) < askEvery {
+	if now.Sub(n.asked) < pause {
 		return false
 	}
 	n.asked = now
 	return true
 }
 
+// near reports whether an instance is in this one's region.
+func (n *Node) near(s *snapshot, address string) bool {
+	k, ok := slices.BinarySearchFunc(s.instances, address, func(i placement.Instance, a string) int { return cmp.Compare(i.Address, a) })
+	return ok && s.instances[k].Region == n.self.Region
+}
+
 // others returns the addresses of the instances that answer.
 func (n *Node) others() []string {
 	s := n.snapshot.Load()
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -45,7 +45,7 @@
 	upstreams map[string]*upstream
 	groups    map[string][]*upstream // by name of the upstream
 	out       map[string]bool        // failure domains
-	// instances are those that take work, and all those that may be running.
+	// instances are those that take work, by address. running counts all that may be running.
 	instances []placement.Instance
 	running   int
 	// first has the begins of the ranks of instances.
