--- a/io/node/rebuild_test.go
+++ b/io/node/rebuild_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestRebuildAfterFreeze guards against a configuration that is not in force in time on an
+// instance that was frozen while it built a snapshot.
+func TestRebuildAfterFreeze(t *testing.T) {
+	n, err := New(Settings{Name: "a", Domain: "d1", Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Advertise: "a"}, Platform{Schema: testSchema{}}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0)
+	n.now = func() time.Time {
+		now = now.Add(10 * time.Second)
+		return now
+	}
+	n.tables.install(Table{Kind: KindOut, Revision: 1, Objects: map[string]Object{"d": {Name: "d", Revision: 1}}})
+	if pause := n.calm.Sub(now); pause > buildPause {
+		t.Errorf("no snapshot for %v", pause)
+	}
+}
+
 // listStore lists one table and fails otherwise.
 type listStore struct {
 	Store
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -174,10 +174,15 @@
 	slices.SortFunc(s.instances, func(a, b placement.Instance) int { return cmp.Compare(a.Address, b.Address) })
 }
 
-// buildShare bounds the time spent on building snapshots while tables change all the time,
-// as when a large fleet starts: a snapshot that took a millisecond is not followed by
-// another one before nine more have passed.
-const buildShare = 0.1
+const (
+	// buildShare bounds the time spent on building snapshots while tables change all the
+	// time, as when a large fleet starts: a snapshot that took a millisecond is not followed
+	// by another one before nine more have passed.
+	buildShare = 0.1
+	// buildPause bounds that pause. A process that stood still while it built a snapshot must
+	// not put off the next one for longer than a change may take to be in force.
+	buildPause = 500 * time.Millisecond
+)
 
 // tableChanged has a new snapshot built, at once or after a pause.
 func (n *Node) tableChanged(k Kind) {
@@ -252,7 +257,7 @@
 		n.spread(k)
 	}
 	now = n.now()
-	pause := time.Duration(float64(now.Sub(began)) * (1/buildShare - 1))
+	pause := min(buildPause, time.Duration(float64(now.Sub(began))*(1/buildShare-1)))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.busy, n.calm = false, now.Add(pause)
