--- a/io/upstreamtest/control.go
+++ b/io/upstreamtest/control.go
@@ -45,6 +45,7 @@
 		return result{}, fail("22P02", "invalid number %q", vals[0])
 	}
 	var cut int
+	s := Status{}
 	switch st.name {
 	case "group_status":
 		var ms int64
@@ -61,12 +62,14 @@
 		}
 		err = u.promote(n, start)
 	case "group_follow":
-		cut, err = u.followCall(n, vals[1], vals[2])
+		cut, s, err = u.followCall(n, vals[1], vals[2])
 	}
 	if err != nil {
 		return result{}, err
 	}
-	s := u.Status()
+	if st.name != "group_follow" {
+		s = u.Status()
+	}
 	row := []cell{
 		{s: string(s.Role)},
 		{s: strconv.FormatUint(s.Fenced, 10)},
@@ -137,27 +140,29 @@
 	return nil
 }
 
-func (u *Upstream) followCall(term uint64, primary, history string) (int, error) {
+// followCall follows another primary and returns the number of entries that were cut and
+// the status before entries of that primary arrive.
+func (u *Upstream) followCall(term uint64, primary, history string) (int, Status, error) {
 	h, err := parseHistory(history)
 	if err != nil {
-		return 0, err
+		return 0, Status{}, err
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
 	case term < u.fenced:
-		return 0, fail("BS010", "fenced at term %d already", u.fenced)
+		return 0, Status{}, fail("BS010", "fenced at term %d already", u.fenced)
 	case term == u.promoted:
-		return 0, fail("55000", "the upstream is the primary of term %d", term)
+		return 0, Status{}, fail("55000", "the upstream is the primary of term %d", term)
 	case len(h) == 0 || h[len(h)-1].Term != term:
-		return 0, fail("22023", "the history does not end with term %d", term)
+		return 0, Status{}, fail("22023", "the history does not end with term %d", term)
 	}
 	if term > u.fenced {
 		u.raise(term)
 	}
 	cut := u.follow(primary, h)
 	u.stats.add(func(s *Stats) { s.Cut += cut })
-	return cut, nil
+	return cut, u.status(), nil
 }
 
 // parseHistory reads term/offset pairs separated by commas.
