Report commits as in doubt that an ordered promotion drops

A replica that starts between the list before an order and the effect of the promotion is not paused. Ruled out: pausing upstreams that appear during an order and holding new work, since the lost commits were sent before.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -29,6 +29,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"burdockseam/core/wal"
 )
 
 // Times of an ordered promotion.
@@ -103,6 +105,7 @@
 	planned  bool
 	held     string // the upstream whose new work is stopped
 	target   string
+	kept     wal.Position // what the target had received when it was chosen
 	done     time.Time
 	reason   string
 }
@@ -122,6 +125,11 @@
 // Target returns the upstream that is to lead.
 func (c *Ordered) Target() string { return c.target }
 
+// Kept returns the position up to which the promotion of the target keeps the old primary's
+// commits. Later ones were not acknowledged when the replicas were paused, but a replica
+// that has started since is not paused and may acknowledge them.
+func (c *Ordered) Kept() wal.Position { return c.kept }
+
 // Drawn reports whether a token is at hand.
 func (c *Ordered) Drawn() bool { return c.token > 0 }
 
@@ -434,7 +442,7 @@
 			best = r
 		}
 	}
-	c.target = best.Upstream
+	c.target, c.kept = best.Upstream, best.standing.Received
 	c.enter(now, PhaseOrder)
 }
 
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"burdockseam/core/failover"
+	"burdockseam/core/wal"
 )
 
 // begin starts a change of the primary. The lock is held.
@@ -99,6 +100,11 @@
 
 // order orders a promotion and tells the others about it.
 func (l *leaders) order(ctx context.Context, g *group, c failover.Command) {
+	l.mu.Lock()
+	note := KeepNote{g.name, c.Upstream, g.change.Kept()}
+	l.mu.Unlock()
+	l.keep(note)
+	l.n.broadcast(ctx, "Node.Keep", note)
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	response, err := l.n.platform.Promoter.Promote(call, g.name, c.Upstream, l.n.settings().Name, c.Token)
 	cancel()
@@ -120,6 +126,25 @@
 	}
 }
 
+// keep takes in that a promotion is being ordered.
+func (l *leaders) keep(note KeepNote) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.group(note.Group)
+	g.keep, g.keepAt = note, l.n.now()
+}
+
+// drops reports whether a promotion may drop a commit that an upstream has answered with
+// the given position. A replica that has started after the others were paused may have
+// acknowledged it. Until the promotion takes effect the old primary goes on.
+func (l *leaders) drops(u *upstream, p wal.Position) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.group(u.Group)
+	return l.n.now().Sub(g.keepAt) < promotionTime && u.Name != g.keep.Upstream &&
+		p.Term <= g.keep.Kept.Term && p.Compare(g.keep.Kept) > 0
+}
+
 // hold stops or resumes new work at an upstream's gateways.
 func (l *leaders) hold(ctx context.Context, u *upstream, held bool) int {
 	if u == nil {
--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"burdockseam/core/placement"
+	"burdockseam/core/wal"
 )
 
 // newLargeNode returns an instance of a fleet of 100 with 200 groups.
@@ -117,3 +118,41 @@
 		t.Errorf("asked others in 10 s without one near: %v", asked)
 	}
 }
+
+// TestDrops guards against a commit that is reported as done though a promotion that is under
+// way drops it, and against doubts about commits that it keeps.
+func TestDrops(t *testing.T) {
+	n := newLargeNode(t)
+	now := time.Unix(100, 0)
+	n.now = func() time.Time { return now }
+	old, next := &upstream{}, &upstream{}
+	old.Group, old.Name, next.Group, next.Name = "g0", "old", "g0", "next"
+	other := &upstream{}
+	other.Group, other.Name = "g1", "old"
+	at := func(term, offset uint64) wal.Position { return wal.Position{Term: term, Offset: offset} }
+	if n.leaders.drops(old, at(1, 90)) {
+		t.Error("a commit is in doubt without a promotion")
+	}
+	n.leaders.keep(KeepNote{"g0", "next", at(1, 82)})
+	for _, test := range []struct {
+		name  string
+		u     *upstream
+		p     wal.Position
+		after time.Duration
+		want  bool
+	}{
+		{"behind what is kept", old, at(1, 83), 0, true},
+		{"kept", old, at(1, 82), 0, false},
+		{"without a position", old, wal.Position{}, 0, false},
+		{"of the promoted upstream", next, at(2, 83), 0, false},
+		{"of the old primary in a later term", old, at(3, 90), 0, false},
+		{"of another group", other, at(1, 90), 0, false},
+		{"shortly before the promotion has taken effect at the latest", old, at(1, 83), promotionTime - 1, true},
+		{"after a promotion that did not take effect", old, at(1, 83), promotionTime, false},
+	} {
+		now = time.Unix(100, 0).Add(test.after)
+		if got := n.leaders.drops(test.u, test.p); got != test.want {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -60,6 +60,8 @@
 	since    time.Time // when leader was last set
 	promoted time.Time // when it was promoted, if that is known
 	notAsk   time.Time // no statement is sent to the leader before
+	keep     KeepNote  // the newest promotion that is known to be ordered
+	keepAt   time.Time // when that became known
 	roles    map[string]bool
 	denied   map[string]uint64 // revisions of entries of upstreams that refused to lead
 	floors   route.Floors
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -36,6 +36,13 @@
 // LeadNote says that an upstream was promoted.
 type LeadNote struct{ Group, Upstream string }
 
+// KeepNote says that the promotion of an upstream is being ordered, which keeps the old
+// primary's commits up to a position.
+type KeepNote struct {
+	Group, Upstream string
+	Kept            wal.Position
+}
+
 // TokenNote tells the holder of an older token of a group which one was drawn after it.
 type TokenNote struct {
 	Group string
@@ -141,6 +148,12 @@
 	return nil
 }
 
+// Keep notes that a promotion is being ordered.
+func (s *service) Keep(note KeepNote, _ *None) error {
+	s.n.leaders.keep(note)
+	return nil
+}
+
 // Token notes that another instance has drawn a token.
 func (s *service) Token(note TokenNote, _ *None) error {
 	s.n.leaders.outdated(note.Group, note.Token)
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -330,6 +330,10 @@
 	r := n.ask(ctx, c.gateway, req, op)
 	n.sending(c.up.Name, -1)
 	n.learn(c, began, s, r)
+	if r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "") && n.leaders.drops(c.up, r.Position) {
+		n.log.Info("route: commit may be dropped by a promotion", "id", s.ID, "upstream", c.up.Name, "position", r.Position.String())
+		r = call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.InDoubt, Text: "the primary is being replaced"}}
+	}
 	if r.Code == call.OK && op.Kind != "" && op.Upstream == "" && s.Kind != call.Commit {
 		op.Upstream, op.Gateway = c.up.Name, c.gateway.Address
 	}
