Go on with a change for stalled commits while the primary still leads

A primary that reaches no replica answers a look at it, which counted as its recovery: a change begun since commits got no answer was given up in its survey whenever the look was quicker than the survey, again and again. TestStalledPrimaryLeads fails before.

--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"burdockseam/core/failover"
 	"burdockseam/core/placement"
 	"burdockseam/core/wal"
 )
@@ -156,3 +157,32 @@
 		}
 	}
 }
+
+// TestStalledPrimaryLeads guards against a change that is given up since the primary still
+// leads, though it reaches no replica: a group whose commits got no answer went without
+// for as long as each look at the primary was quicker than the survey of the replicas.
+func TestStalledPrimaryLeads(t *testing.T) {
+	for _, test := range []struct {
+		reason, upstream string
+		commit, over     bool
+	}{
+		{reasonStalled, "u0", false, false},
+		{reasonStalled, "u0", true, true},
+		{reasonStalled, "u1", false, true},
+		{reasonUnreachable, "u0", false, true},
+	} {
+		n := newLargeNode(t)
+		l := n.leaders
+		l.mu.Lock()
+		g := l.group("g0")
+		l.set(g, "u0", "test")
+		g.acts = true
+		l.begin(g, false, test.reason)
+		l.mu.Unlock()
+		now := n.now().Add(time.Second)
+		l.proved("g0", test.upstream, now, wal.Position{Term: 1, Offset: 1}, now, test.commit)
+		if over := g.change.Phase() == failover.PhaseIdle; over != test.over {
+			t.Errorf("%+v: phase %s", test, g.change.Phase())
+		}
+	}
+}
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -53,6 +53,12 @@
 	orderTimeout = time.Second
 )
 
+// Why a primary is reported.
+const (
+	reasonUnreachable = "unreachable"
+	reasonStalled     = "commits without an answer"
+)
+
 // group is what an instance believes about a group.
 type group struct {
 	name     string
@@ -255,12 +261,14 @@
 	g.change.Members(g.leader, term, list)
 }
 
-// proved takes in evidence that an upstream led at the given time or later.
+// proved takes in evidence that an upstream led at the given time or later, and whether it
+// is an acknowledged commit.
 func (l *leaders) proved(name, upstream string, at time.Time, p wal.Position, now time.Time, commit bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := l.group(name)
-	if g.leader != upstream && at.After(g.since) {
+	other := g.leader != upstream
+	if other && at.After(g.since) {
 		l.set(g, upstream, "proved")
 	}
 	g.floors.Add(at, p)
@@ -272,7 +280,9 @@
 		if commit {
 			g.commit, g.stalls = now, 0
 		}
-		if g.acts {
+		// A primary that reaches no replica goes on to lead, which is why its commits get no
+		// answer. Only one that is acknowledged shows that a change for that is not needed.
+		if g.acts && (commit || other || g.change.Reason() != reasonStalled) {
 			g.change.Recovered(now, upstream)
 		}
 	}
@@ -348,7 +358,7 @@
 }
 
 // unreachable takes in that a gateway could not reach an upstream.
-func (l *leaders) unreachable(u *upstream) { l.report(u, "unreachable") }
+func (l *leaders) unreachable(u *upstream) { l.report(u, reasonUnreachable) }
 
 // stalled takes in that a commit or a write got no answer.
 func (l *leaders) stalled(u *upstream, began, now time.Time) {
@@ -365,7 +375,7 @@
 	stalled := g.stalls >= stallCount && now.Sub(g.stalled) >= stallAfter
 	l.mu.Unlock()
 	if stalled {
-		l.report(u, "commits without an answer")
+		l.report(u, reasonStalled)
 	}
 }
 
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -329,8 +329,10 @@
 	n.sending(c.up.Name, 1)
 	r := n.ask(ctx, c.gateway, req, op)
 	n.sending(c.up.Name, -1)
-	n.learn(c, began, s, r)
-	if r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "") && n.leaders.drops(c.up, r.Position) {
+	// Commits of transactions that only read wait for no replica.
+	commit := r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "")
+	n.learn(c, began, s, r, commit)
+	if commit && n.leaders.drops(c.up, r.Position) {
 		n.log.Info("route: commit may be dropped by a promotion", "id", s.ID, "upstream", c.up.Name, "position", r.Position.String())
 		r = call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.InDoubt, Text: "the primary is being replaced"}}
 	}
@@ -425,11 +427,12 @@
 	}()
 }
 
-// learn takes in what an answer shows about an upstream.
-func (n *Node) learn(c choice, began time.Time, s call.Statement, r call.Reply) {
+// learn takes in what an answer shows about an upstream, and whether it acknowledges a
+// commit.
+func (n *Node) learn(c choice, began time.Time, s call.Statement, r call.Reply, commit bool) {
 	now := n.now()
 	if r.Sample != nil {
-		n.leaders.proved(c.up.Group, c.up.Name, began.Add(-r.Sample.Age), r.Sample.Position, now, s.IsWrite() || s.Kind == call.Commit)
+		n.leaders.proved(c.up.Group, c.up.Name, began.Add(-r.Sample.Age), r.Sample.Position, now, commit)
 	}
 	n.mu.Lock()
 	k := n.know(c.up.Name)
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -132,7 +132,7 @@
 	l.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		l.n.log.Info("group: primary does not answer", "group", g.name, "primary", u.Name, "err", err.Error())
-		l.suspect(g.name, u.Name, "unreachable")
+		l.suspect(g.name, u.Name, reasonUnreachable)
 	}
 }
 
@@ -265,11 +265,11 @@
 		votes++
 		others += min(k, 1)
 		switch {
-		case reason == "unreachable" && !r.Reached, reason != "unreachable" && (!r.Known || r.Commit > commitRecent):
+		case reason == reasonUnreachable && !r.Reached, reason != reasonUnreachable && (!r.Known || r.Commit > commitRecent):
 			lost++
 		}
 	}
-	if reason != "unreachable" && lost < votes {
+	if reason != reasonUnreachable && lost < votes {
 		lost = 0 // a commit anywhere shows that commits are acknowledged
 	}
 	if len(l.n.snapshot.Load().instances) > 1 && votes < 2 {
