--- a/core/session/token_test.go
+++ b/core/session/token_test.go
@@ -1,25 +1,17 @@
 package session
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/zeebo/errs"
 	"pgregory.net/rapid"
 
+	"burdockseam/core/testseed"
 	"burdockseam/core/wal"
 )
 
-// TestMain fixes the seed, so that each run checks the same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 var secret = []byte("0123456789abcdef0123456789abcdef")
 
--- /dev/null
+++ b/io/node/main_test.go
@@ -0,0 +1,9 @@
+package node
+
+import (
+	"testing"
+
+	"burdockseam/core/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
@@ -152,9 +151,6 @@
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.draining.Load() }
 
-// Metrics returns the instance's metrics.
-func (n *Node) Metrics() *metrics.Set { return n.metrics.set }
-
 // Serve serves until the context ends and then drains.
 func (n *Node) Serve(ctx context.Context) error {
 	n.log.Info("instance: started", "instance", n.self.ID, "domain", n.self.Domain, "callers", n.settings().Listen, "peer", n.settings().Peer)
