--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -360,7 +360,7 @@
 }
 
 // successors returns the instances that may come to hold the lease, the first choice
-// first. The lock is held.
+// first.
 func (l *limits) successors() []placement.Instance {
 	return l.n.snapshot.Load().first.Top(leaseName, placement.Place{}, leaseDepth)
 }
