Do not order a promotion over a vanished replica while the primary leads

The other replica, which alone acknowledged then, was lost with its failure domain; when its entry disappeared it was left out, and the paused replica was promoted, although the old primary led and had everything.

TestOrderedVanishedReplica fails without the wait.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -14,6 +14,8 @@
 //     are paused, and orders that it accepted before that get the time to take effect. So
 //     no order of another instance takes effect between the answers to the pauses and
 //     the own order.
+//   - A replica whose entry disappears may be the only one that holds a commit, too. While
+//     the old primary is seen to lead, which has all of them, nothing is ordered then.
 //   - An order without an answer may be carried out later, so it is repeated until it is
 //     answered.
 //   - A replica that was paused is never told to go on, since another instance may have
@@ -62,6 +64,12 @@
 	// from the whole fleet, and orders must not be refused for the sake of these.
 	raiseIdle     = 3 * time.Second
 	raiseIdleMost = time.Minute
+	// aliveFor is the time for which the old primary counts as leading after it was seen to.
+	// It is above the time between two looks at it that fail and are repeated.
+	aliveFor = 1500 * time.Millisecond
+	// goneFor bounds the wait for a replica whose entry disappeared. One that starts again is
+	// back within seconds; without one the group acknowledges nothing.
+	goneFor = 8 * time.Second
 	// effectWait is the time within which an accepted order takes effect. Promotions take
 	// up to a second.
 	effectWait = 1200 * time.Millisecond
@@ -89,6 +97,9 @@
 	primary  string
 	term     uint64 // highest seen
 	replicas []*replica
+	gone     []string  // replicas whose entries disappeared during the change
+	goneAt   time.Time // when the first of them was noticed
+	alive    time.Time // when the old primary was last seen to lead
 	phase    Phase
 	since    time.Time // start of the phase
 	next     time.Time // first time for another command of the phase
@@ -139,6 +150,12 @@
 	c.term = max(c.term, term)
 	if c.phase == PhaseIdle {
 		c.primary = primary
+		c.gone = nil
+	}
+	for _, r := range c.others() {
+		if !slices.ContainsFunc(list, func(m Candidate) bool { return m.Upstream == r.Upstream }) {
+			c.gone = append(c.gone, r.Upstream)
+		}
 	}
 	replicas := make([]*replica, 0, len(list))
 	for _, m := range list {
@@ -150,6 +167,8 @@
 		replicas = append(replicas, r)
 	}
 	c.replicas = replicas
+	// One that is back answers for itself.
+	c.gone = slices.DeleteFunc(c.gone, func(name string) bool { return c.find(name) != nil })
 }
 
 // Start begins a change of the primary, unless one is under way or just over.
@@ -178,6 +197,27 @@
 	c.phase, c.since, c.next = p, now, now
 }
 
+// Alive takes in that an upstream was seen to lead.
+func (c *Ordered) Alive(now time.Time, primary string) {
+	if primary == c.primary {
+		c.alive = now
+	}
+}
+
+// blocked reports whether nothing may be ordered, since the old primary leads and may be
+// the only one left that holds a commit. A planned change goes on: new work at the old
+// primary has ended before the pauses, and it must leave in time.
+func (c *Ordered) blocked(now time.Time) bool {
+	if len(c.gone) == 0 {
+		c.goneAt = time.Time{}
+		return false
+	}
+	if c.goneAt.IsZero() {
+		c.goneAt = now
+	}
+	return !c.planned && now.Sub(c.goneAt) < goneFor && now.Sub(c.alive) < aliveFor
+}
+
 // Recovered takes in that an upstream was proven to lead, or was promoted by another
 // instance. A change that has paused no replica yet is given up.
 func (c *Ordered) Recovered(now time.Time, primary string) {
@@ -305,6 +345,9 @@
 	if !c.clear(now) {
 		return nil // an order of another instance may still end the pauses
 	}
+	if c.blocked(now) {
+		return nil
+	}
 	var out []Command
 	all := true
 	for _, r := range c.others() {
@@ -424,6 +467,10 @@
 // choose names the replica that has received most.
 func (c *Ordered) choose(now time.Time) {
 	list := c.others()
+	if c.blocked(now) || len(list) == 0 {
+		c.enter(now, PhasePause)
+		return
+	}
 	var best, holder *replica
 	for _, r := range list {
 		if r.at.IsZero() || now.Sub(r.at) >= pauseValid {
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -81,6 +81,66 @@
 	}
 }
 
+// TestOrderedVanishedReplica guards against the loss of acknowledged commits when the
+// replica that holds them disappears from the registry while another one is paused and the
+// old primary, which holds them as well, still leads: LOST on two days "frozen" of a hunt.
+func TestOrderedVanishedReplica(t *testing.T) {
+	setup := func() (*orderedWorld, *actor) {
+		w := newOrderedWorld(1)
+		x := w.actors[0]
+		w.step(x)
+		x.change.Start(w.now, false, "test")
+		w.commit(map[string]bool{"b": true, "c": true})
+		w.paused["b"] = true
+		w.commit(map[string]bool{"c": true}) // only c can acknowledge it
+		w.down["c"] = true
+		for range 50 {
+			w.pass(20 * time.Millisecond)
+			w.step(x)
+		}
+		w.names = []string{"a", "b"}
+		x.change.Members("a", 1, w.candidates())
+		return w, x
+	}
+	t.Run("the old primary leads", func(t *testing.T) {
+		w, x := setup()
+		for range 300 { // 6 s of the 8 s for which it is waited for
+			w.pass(20 * time.Millisecond)
+			x.change.Alive(w.now, "a")
+			w.step(x)
+		}
+		if w.primary != "a" || len(w.lost) > 0 {
+			t.Errorf("primary %s, lost %v", w.primary, w.lost)
+		}
+		// The replica is back with what the old primary has.
+		w.names, w.down["c"], w.logs["c"] = []string{"a", "b", "c"}, false, slices.Clone(w.logs["a"])
+		x.change.Members("a", 1, w.candidates())
+		drive(t, w, x)
+		if w.primary != "c" || len(w.lost) > 0 {
+			t.Errorf("primary %s, lost %v", w.primary, w.lost)
+		}
+	})
+	t.Run("the replica does not come back", func(t *testing.T) {
+		w, x := setup()
+		for range 600 {
+			w.pass(20 * time.Millisecond)
+			x.change.Alive(w.now, "a")
+			w.step(x)
+		}
+		if w.primary != "b" {
+			t.Errorf("primary %s", w.primary)
+		}
+	})
+	t.Run("the old primary does not answer", func(t *testing.T) {
+		w, x := setup()
+		w.down["a"] = true
+		drive(t, w, x)
+		if w.primary != "b" {
+			t.Errorf("primary %s", w.primary)
+		}
+	})
+}
+
 // TestOrderedRaises guards against orders that the platform turns away since idle groups
 // show their tokens again and again: 3,794 of 3,920 such calls were refused for their rate
 // in the first seconds of a day with 203 groups.
--- a/io/node/leaders.go
+++ b/io/node/leaders.go
@@ -280,6 +280,7 @@
 		if commit {
 			g.commit, g.stalls = now, 0
 		}
+		g.change.Alive(now, upstream)
 		// A primary that reaches no replica goes on to lead, which is why its commits get no
 		// answer. Only one that is acknowledged shows that a change for that is not needed.
 		if g.acts && (commit || other || g.change.Reason() != reasonStalled) {
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -72,7 +72,7 @@
 	switch g.change.Phase() {
 	case failover.PhaseIdle:
 		l.look(ctx, g, s, now)
-	case failover.PhaseSurvey:
+	case failover.PhaseSurvey, failover.PhasePause:
 		if u := s.upstreams[g.leader]; u != nil && !g.probing && now.Sub(g.proved) >= watchLeader {
 			g.probing = true
 			go l.probe(ctx, g, u)
