--- /dev/null
+++ b/review/standin/group.go
@@ -0,0 +1,488 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// entry is one committed write.
+type entry struct{ id, item, data string }
+
+// group is a stand-in for a database service: a primary and two replicas. A commit is
+// acknowledged once a replica has received it.
+type group struct {
+	name  string
+	store *store
+
+	mu      sync.Mutex
+	servers []*server
+	term    uint64
+	changed chan struct{} // closed when a log, a role or a state changes
+}
+
+// server is a stand-in for one backend.
+type server struct {
+	group    *group
+	id, zone string
+	address  string
+	listener net.Listener
+	primary  bool
+	down     bool
+	dark     bool // answers nothing, and closes nothing
+	paused   uint64
+	log      []entry
+	applied  int
+	slots    chan struct{}
+	conns    map[net.Conn]bool
+}
+
+// Times and sizes of the stand-ins, like those of a small deployment.
+const (
+	serverSlots    = 2
+	serverConns    = 27
+	promoteTime    = 300 * time.Millisecond
+	handshakeTime  = 5 * time.Millisecond
+	replicaLag     = 8 * time.Millisecond
+	replicateEvery = 2 * time.Millisecond
+	queueTime      = 200 * time.Millisecond
+)
+
+// workTime is the time of one statement in a slot.
+var workTime = 5 * time.Millisecond
+
+func newGroup(s *store, name string, zones ...string) *group {
+	g := &group{name: name, store: s, term: 1, changed: make(chan struct{})}
+	for k, zone := range zones {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fatal(err)
+		}
+		v := &server{
+			group: g, id: fmt.Sprintf("i-%s-%d", name, k), zone: zone, address: l.Addr().String(), listener: l,
+			primary: k == 0, slots: make(chan struct{}, serverSlots), conns: make(map[net.Conn]bool),
+		}
+		g.servers = append(g.servers, v)
+		go v.accept()
+	}
+	g.register()
+	go func() {
+		for range time.Tick(replicateEvery) {
+			g.replicate()
+		}
+	}()
+	return g
+}
+
+// register writes the entries of the servers that run.
+func (g *group) register() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range g.servers {
+		role := "replica"
+		if v.primary {
+			role = "primary"
+		}
+		if !v.down {
+			g.store.put("servers", v.id, map[string]any{
+				"service": g.name, "address": v.address, "zone": v.zone, "version": "v1", "slots": serverSlots,
+				"state": "ready", "cold-ms": 0, "db-role": role, "born": 1,
+			})
+		}
+	}
+}
+
+// wake wakes the commits that wait. The lock is held.
+func (g *group) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// leader returns the primary, also if it is down. The lock is held.
+func (g *group) leader() *server {
+	for _, v := range g.servers {
+		if v.primary {
+			return v
+		}
+	}
+	return nil
+}
+
+// replicate copies the primary's log to the replicas that are not paused.
+func (g *group) replicate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.leader()
+	if p == nil || p.down {
+		return
+	}
+	for _, v := range g.servers {
+		if v == p || v.down || v.paused > 0 || len(v.log) == len(p.log) {
+			continue
+		}
+		v.log = p.log[:len(p.log):len(p.log)]
+		n := len(v.log)
+		time.AfterFunc(replicaLag, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			v.applied = max(v.applied, min(n, len(v.log)))
+		})
+		g.wake()
+	}
+}
+
+// promote makes a server the primary of the next term after promoteTime, with the log that
+// it has received. It reports whether the server runs.
+func (g *group) promote(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := slices.IndexFunc(g.servers, func(v *server) bool { return v.id == id })
+	if k < 0 || g.servers[k].down {
+		return false
+	}
+	target := g.servers[k]
+	if target.primary {
+		return true
+	}
+	time.AfterFunc(promoteTime, func() {
+		g.mu.Lock()
+		if !target.down && !target.primary {
+			g.lead(target)
+		}
+		g.mu.Unlock()
+		g.register()
+	})
+	return true
+}
+
+// lead changes the roles. Logs that were ahead are rolled back. The lock is held.
+func (g *group) lead(target *server) {
+	g.term++
+	for _, v := range g.servers {
+		v.primary, v.paused = v == target, 0
+		common := 0
+		for common < min(len(v.log), len(target.log)) && v.log[common] == target.log[common] {
+			common++
+		}
+		v.log = v.log[:common:common]
+		v.applied = min(v.applied, common)
+	}
+	target.applied = len(target.log)
+	note("promoted service=%s id=%s term=%d log=%d", g.name, target.id, g.term, len(target.log))
+	g.wake()
+}
+
+// darken makes a server silent: connections stay open, and nothing is answered on them or
+// on new ones. The entry expires after three heartbeat intervals.
+func (g *group) darken(v *server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v.down, v.dark = true, true
+	g.wake()
+	time.AfterFunc(3*heartbeat, func() {
+		g.mu.Lock()
+		down := v.down
+		g.mu.Unlock()
+		if down {
+			g.store.remove("servers", v.id)
+		}
+	})
+}
+
+// heartbeat is the interval of the servers' writes to the store.
+const heartbeat = 1200 * time.Millisecond
+
+// restart brings a crashed server back with its log.
+func (g *group) restart(v *server) {
+	g.mu.Lock()
+	v.down, v.dark, v.paused = false, false, 0
+	for c := range v.conns { // connections from before the restart are gone
+		c.Close()
+	}
+	g.mu.Unlock()
+	g.register()
+}
+
+// primaryServer returns the primary if it runs.
+func (g *group) primaryServer() *server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.leader(); p != nil && !p.down {
+		return p
+	}
+	return nil
+}
+
+// accept serves connections until the process ends.
+func (v *server) accept() {
+	for {
+		c, err := v.listener.Accept()
+		if err != nil {
+			return
+		}
+		v.group.mu.Lock()
+		down, full := v.down && !v.dark, len(v.conns) >= serverConns && !v.dark
+		if !down && !full {
+			v.conns[c] = true
+		}
+		v.group.mu.Unlock()
+		switch {
+		case down:
+			c.Close()
+		case full:
+			fmt.Fprint(c, "ERROR TOOMANY full\r\n")
+			c.Close()
+		default:
+			go (&serverConn{server: v, conn: c}).serve()
+		}
+	}
+}
+
+// serverConn is one connection to a server.
+type serverConn struct {
+	server      *server
+	conn        net.Conn
+	transaction string // "", "write" or "read"
+	writes      []entry
+	prepared    map[string]string // "READ" or "WRITE" by name
+	count       int
+}
+
+// serve runs the connection's session.
+func (c *serverConn) serve() {
+	g := c.server.group
+	defer func() {
+		c.conn.Close()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(c.server.conns, c.conn)
+	}()
+	c.prepared = make(map[string]string)
+	in := bufio.NewReader(c.conn)
+	f := strings.Fields(readLine(in))
+	if len(f) < 3 || f[0] != "START" || f[1] != g.name || len(f) > 3 && f[3] != c.server.id {
+		fmt.Fprintf(c.conn, "ERROR MISROUTED %s\r\n", c.server.id)
+		return
+	}
+	time.Sleep(handshakeTime)
+	if c.isDark() {
+		_, _ = in.ReadByte() // until one of the ends closes
+		return
+	}
+	fmt.Fprint(c.conn, "READY I -\r\n")
+	for {
+		parts := strings.SplitN(readLine(in), " ", 3)
+		if len(parts) != 3 || parts[0] != "QUERY" {
+			return
+		}
+		answer, ok := c.run(parts[1], parts[2])
+		if c.isDark() {
+			_, _ = in.ReadByte() // until one of the ends closes
+			return
+		}
+		if !ok {
+			return
+		}
+		if _, err := fmt.Fprint(c.conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+// isDark reports whether the server is silent.
+func (c *serverConn) isDark() bool {
+	c.server.group.mu.Lock()
+	defer c.server.group.mu.Unlock()
+	return c.server.dark
+}
+
+// readLine returns the next line, or "" at the end of the connection.
+func readLine(in *bufio.Reader) string {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// run runs one query. The connection ends if ok is false.
+func (c *serverConn) run(id, text string) (answer string, ok bool) {
+	g, v := c.server.group, c.server
+	word, _, _ := strings.Cut(text, " ")
+	if id != "-" {
+		arrivals.Store(id, true)
+	}
+	if id != "-" || word == "STATUS" {
+		select {
+		case v.slots <- struct{}{}:
+			time.Sleep(workTime/2 + rand.N(workTime))
+			<-v.slots
+		case <-time.After(queueTime):
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return c.answer("ERROR BUSY full"), true
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v.down {
+		return "", false
+	}
+	if rest, found := strings.CutPrefix(text, "AFTER "); found {
+		var term, number uint64
+		position, statement, _ := strings.Cut(rest, " ")
+		if _, err := fmt.Sscanf(position, "%d.%d", &term, &number); err != nil {
+			return c.answer("ERROR MALFORMED position"), true
+		}
+		text = statement
+		if term > g.term || number > uint64(v.visible()) {
+			return c.answer("ERROR LAGGING behind"), true
+		}
+	}
+	f := strings.SplitN(text, " ", 4)
+	if c.transaction == "write" && !v.primary && f[0] != "ROLLBACK" && (f[0] != "COMMIT" || len(c.writes) > 0) {
+		return c.answer("ERROR READONLY " + v.id), true
+	}
+	switch f[0] {
+	case "BEGIN":
+		if c.transaction = "read"; len(f) == 1 {
+			c.transaction = "write"
+		}
+		if c.transaction == "write" && !v.primary {
+			c.transaction = ""
+			return c.answer("ERROR READONLY " + v.id), true
+		}
+		return c.answer("COMPLETE -"), true
+	case "ROLLBACK":
+		c.transaction, c.writes = "", nil
+		return c.answer("COMPLETE -"), true
+	case "PREPARE":
+		c.prepared[f[1]] = f[2]
+		return c.answer("COMPLETE -"), true
+	case "SET":
+		return c.answer("COMPLETE -"), true
+	case "RESET":
+		c.prepared = make(map[string]string)
+		return c.answer("COMPLETE -"), true
+	case "PAUSE", "STATUS":
+		role := "replica"
+		if v.primary {
+			role = "primary"
+		}
+		var term uint64
+		if f[0] == "PAUSE" && !v.primary {
+			if _, err := fmt.Sscan(f[1], &term); err != nil {
+				return c.answer("ERROR MALFORMED term"), true
+			}
+			if term > g.term { // a pause with a lower term stops nothing
+				v.paused = term
+			}
+		}
+		return fmt.Sprintf("ROW %s %d %d.%d %d 0 0 %d\r\n", role, g.term, g.term, len(v.log), v.paused, len(v.conns)) + c.answer("COMPLETE -"), true
+	}
+	return c.runClient(id, f)
+}
+
+// arrivals has the ids of the clients' statements that have reached a server.
+var arrivals sync.Map
+
+// hasArrived reports whether a client's statement has reached a server.
+func hasArrived(id string) bool {
+	_, ok := arrivals.Load(id)
+	return ok
+}
+
+// visible returns the length of the log that reads see. The lock is held.
+func (v *server) visible() int {
+	if v.primary {
+		return len(v.log)
+	}
+	return v.applied
+}
+
+// runClient runs a client's statement. The lock is held.
+func (c *serverConn) runClient(id string, f []string) (answer string, ok bool) {
+	g, v := c.server.group, c.server
+	if f[0] == "EXECUTE" && len(f) > 2 {
+		kind, known := c.prepared[f[1]]
+		if !known {
+			return c.answer("ERROR UNKNOWN " + f[1]), true
+		}
+		f = append([]string{kind}, f[2:]...)
+	}
+	if f[0] == "WRITE" && !v.primary {
+		return c.answer("ERROR READONLY " + v.id), true
+	}
+	c.count++
+	signature := fmt.Sprintf("%s.%s.%p.%d", v.id, id, c, c.count)
+	rows := ""
+	switch {
+	case f[0] == "READ" && len(f) > 1:
+		value := "none"
+		for _, e := range append(slices.Clip(v.log[:v.visible()]), c.writes...) {
+			if e.item == f[1] {
+				value = e.data
+			}
+		}
+		rows = "ROW " + value + "\r\n"
+	case f[0] == "WRITE" && len(f) > 2:
+		w := entry{id, f[1], f[2]}
+		if c.transaction != "" {
+			c.writes = append(c.writes, w)
+		} else if !c.commit([]entry{w}) {
+			return "", false
+		}
+	case f[0] == "COMMIT":
+		writes := c.writes
+		c.transaction, c.writes = "", nil
+		if !c.commit(writes) {
+			return "", false
+		}
+	default:
+		return c.answer("ERROR MALFORMED statement"), true
+	}
+	ran(g, v, id, strings.Join(f, " "))
+	return rows + c.answer("COMPLETE "+signature), true
+}
+
+// commit appends writes to the primary's log and waits until a replica has received them.
+// The lock is held, and released while it waits.
+func (c *serverConn) commit(writes []entry) bool {
+	g, v := c.server.group, c.server
+	if len(writes) == 0 {
+		return true
+	}
+	v.log = append(slices.Clip(v.log), writes...)
+	last, end := writes[len(writes)-1], len(v.log)
+	for deadline := time.Now().Add(4 * time.Second); ; {
+		if v.down || !v.primary || len(v.log) < end || v.log[end-1] != last || time.Now().After(deadline) {
+			return false
+		}
+		for _, o := range g.servers {
+			if o != v && !o.down && len(o.log) >= end && o.log[end-1] == last {
+				return true
+			}
+		}
+		next := g.changed
+		g.mu.Unlock()
+		select {
+		case <-next:
+		case <-time.After(100 * time.Millisecond):
+		}
+		g.mu.Lock()
+	}
+}
+
+// answer returns the end of an answer. The lock is held.
+func (c *serverConn) answer(line string) string {
+	state := "I"
+	if c.transaction != "" {
+		state = "T"
+	}
+	return fmt.Sprintf("%s\r\nREADY %s %d.%d\r\n", line, state, c.server.group.term, c.server.visible())
+}
