--- a/review/standin/pinned.go
+++ b/review/standin/pinned.go
@@ -42,7 +42,7 @@
 // REFUSED and PINNED: nothing is kept of an attempt for which the client has a promise, and all
 // statements of a transaction run in one transaction of one connection.
 func runPinned(trouble bool) int {
-	workTime, queueTime = pinnedWork, 0
+	used, workTime, queueTime = &saajghar, pinnedWork, 0
 	s := newSite(trouble, 1, 3)
 	g := s.groups[0]
 	var stop atomic.Bool
