--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "sigterm". The stand-in program reads TROUBLE; with TROUBLE=0 it leaves out the
+# Plays the case "hang". The stand-in program reads TROUBLE; with TROUBLE=0 it leaves out the
 # disruption. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
@@ -8,4 +8,4 @@
   echo "run the build of the deploy file and review/build.sh first"
   exit 2
 }
-exec target/standin sigterm "$here/record.txt"
+exec target/standin hang "$here/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -384,6 +384,7 @@
 
 // cases are the cases by name. Each returns the exit status.
 var cases = map[string]func(trouble bool) int{
+	"hang":    runHang,
 	"pinned":  runPinned,
 	"sigterm": runSigterm,
 	"smuggle": runSmuggle,
