gateway: A transaction is known by the request that opened it

Cause: the gateway kept the state of a try under the name of the session. The first statement of a transaction that fails is answered before its rollback has ended, and sent again under the same name. The end of the rollback then removed the number by which the queue knew the next try, or that try's transaction. The queue took the next statement for a single one.

Now the queue knows a transaction by the request that opened it, a try removes only its own connection from the session, and the queue refuses a statement of a transaction whose session holds none (also for the PostgreSQL face). On a related path, the end of a transaction whose first statement is still running was dropped, so that it stayed open until the idle timeout.

Failed before: TestRollbackDuringNextTry (both orders: `["write 3"] ran outside of a transaction`, `the transaction is gone`), TestEndDuringFirstStatement (`sent ["begin read" "read 1"]`, no rollback), and the queue's subtest (no field Inside).

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -83,6 +83,9 @@
 	Session uint64
 	// Begin says that the statement opens a transaction.
 	Begin bool
+	// Inside says that the statement belongs to the session's open transaction. It is
+	// refused if the session holds none.
+	Inside bool
 	// Deadline is the time by which the answer is wanted; zero means no deadline.
 	Deadline time.Time
 }
@@ -275,6 +278,8 @@
 	q.queued++
 	q.chargeElapsed(now)
 	switch {
+	case r.Inside && i.class != classInTransaction:
+		q.refuseRequest(i, ReasonTransaction)
 	case q.closed && i.class != classInTransaction:
 		q.refuseRequest(i, ReasonClosed)
 	case q.missesDeadline(now, i):
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -110,6 +110,16 @@
 		expectDecisions(t, "lost", q.ConnectionLost(ms(1), c),
 			Decision{Kind: Fail, Request: 1, Reason: ReasonLost}, refusedDecision(2, ReasonTransaction), Decision{Kind: Open})
 	})
+	t.Run("a statement whose transaction is gone is refused, and not run outside of it", func(t *testing.T) {
+		q := openQueue(oneSlot)
+		q.Enqueue(ms(0), Request{ID: 1, Team: "a", Session: 7, Begin: true})
+		q.Finish(ms(1), 1, true)
+		q.TransactionEnded(ms(2), 7)
+		expectDecisions(t, "late", q.Enqueue(ms(3), Request{ID: 2, Team: "a", Session: 7, Inside: true}), refusedDecision(2, ReasonTransaction))
+		if q.Queued() != 0 {
+			t.Errorf("%d requests wait", q.Queued())
+		}
+	})
 	t.Run("few connections are opened at a time, with a backoff after a failure", func(t *testing.T) {
 		q := New(Options{Slots: 8, Connections: 16, MaxOpening: 2})
 		for id := range uint64(8) {
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -74,10 +74,10 @@
 	// wrote says that a statement of the transaction may have changed data.
 	wrote bool
 
-	// busy says that a statement or a rollback is running. rollbackPending says that the
-	// transaction is to be rolled back once the running statement has ended. Both are
-	// guarded by the gateway's lock.
-	busy, rollbackPending bool
+	// busy says that a statement or a rollback is running, and opener is the ID of the
+	// request that opened the transaction. Both are guarded by the gateway's lock.
+	busy   bool
+	opener uint64
 }
 
 // preparedName returns the name under which a shape is prepared on every connection. The
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -17,7 +17,7 @@
 		}
 		return call.Refusal(call.Unreachable, "the upstream closed the connection")
 	}
-	if r.Inside && g.isRollbackPending(c) {
+	if g.hasEnded(r.Session) {
 		g.releaseConnection(c, id, r, true)
 		return call.Refusal(call.Aborted, "the transaction was ended")
 	}
@@ -49,11 +49,11 @@
 	return g.runStatement(c, id, r, deadline, proof)
 }
 
-// isRollbackPending reports whether the connection's transaction is to be rolled back.
-func (g *Gateway) isRollbackPending(c *pooledConn) bool {
+// hasEnded reports whether the caller has given up the session's transaction.
+func (g *Gateway) hasEnded(session string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return c.rollbackPending
+	return g.ended[session]
 }
 
 // busyRetryInterval is the time between two attempts of a statement in a transaction
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -66,12 +66,11 @@
 	queue           *queue.Queue
 	waiting         map[uint64]waitingRequest
 	conns           map[uint64]*pooledConn
-	sessionNumbers  map[string]uint64      // the numbers by which the queue knows sessions
-	sessionNames    map[uint64]string      // the inverse of sessionNumbers
 	transactions    map[string]*pooledConn // connections in a transaction, by session
 	inflight        map[string]int         // unanswered requests of each session
+	ended           map[string]bool        // sessions in inflight whose callers have given up
 	lastRequestAt   time.Time
-	lastID          uint64 // the ID given last to a request or session
+	lastID          uint64 // the ID given last to a request
 	ticking         bool
 	closed          bool
 	holdTimer       *time.Timer // ends the hold after holdTimeout
@@ -103,8 +102,8 @@
 			TeamBound: true, IdleTimeout: r.Idle,
 		}),
 		waiting: make(map[uint64]waitingRequest), conns: make(map[uint64]*pooledConn),
-		sessionNumbers: make(map[string]uint64), sessionNames: make(map[uint64]string),
-		transactions: make(map[string]*pooledConn), inflight: make(map[string]int), lastRequestAt: s.now(),
+		transactions: make(map[string]*pooledConn), inflight: make(map[string]int), ended: make(map[string]bool),
+		lastRequestAt: s.now(),
 	}
 }
 
@@ -114,7 +113,8 @@
 	deadline := now.Add(r.Budget)
 	g.mu.Lock()
 	g.inflight[r.Session]++
-	if g.closed || r.Inside && (g.transactions[r.Session] == nil || g.transactions[r.Session].rollbackPending) {
+	transaction := g.transactions[r.Session]
+	if g.closed || r.Inside && (transaction == nil || g.ended[r.Session]) {
 		g.mu.Unlock()
 		return g.finishRequest(r.Session, call.Refusal(call.Aborted, "the transaction is gone"))
 	}
@@ -132,8 +132,14 @@
 	id := g.lastID
 	decision := make(chan startDecision, 1)
 	g.waiting[id] = waitingRequest{decision, r.Team}
+	// A session may try a transaction's first statement again while the failed try is still
+	// being rolled back, so the queue knows a transaction by the request that opened it.
+	number := id
+	if r.Inside {
+		number = transaction.opener
+	}
 	g.applyDecisions(g.queue.Enqueue(now, queue.Request{
-		ID: id, Team: r.Team, Session: g.sessionNumber(r.Session), Deadline: deadline,
+		ID: id, Team: r.Team, Session: number, Inside: r.Inside, Deadline: deadline,
 		Begin: r.Open == call.OpenWrite || r.Open == call.OpenRead,
 	}))
 	g.startTicking()
@@ -163,39 +169,27 @@
 	}
 }
 
-// finishRequest completes a reply with the load, and forgets the session if it has no
-// open transaction.
+// finishRequest completes a reply with the load, and rolls the session's transaction back if
+// its caller has given up meanwhile.
 func (g *Gateway) finishRequest(session string, r call.Reply) call.Reply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.inflight[session]--; g.inflight[session] <= 0 {
 		delete(g.inflight, session)
-		if c := g.transactions[session]; c != nil && c.rollbackPending {
+		if g.ended[session] {
+			delete(g.ended, session)
 			go g.endTransaction(session)
 		}
 	}
-	g.forgetSession(session)
 	r.Load = g.queue.Queued() + g.queue.Running()
 	return r
 }
 
-// sessionNumber returns the number that the queue knows a session by. The lock is held.
-func (g *Gateway) sessionNumber(session string) uint64 {
-	n, ok := g.sessionNumbers[session]
-	if !ok {
-		g.lastID++
-		n = g.lastID
-		g.sessionNumbers[session], g.sessionNames[n] = n, session
-	}
-	return n
-}
-
-// forgetSession removes the number of a session that has no open transaction. The lock is
-// held.
-func (g *Gateway) forgetSession(session string) {
-	if n, ok := g.sessionNumbers[session]; ok && g.transactions[session] == nil {
-		delete(g.sessionNumbers, session)
-		delete(g.sessionNames, n)
+// forgetTransaction records that a connection no longer holds the transaction of a session,
+// which may have opened another one on another connection. The lock is held.
+func (g *Gateway) forgetTransaction(session string, c *pooledConn) {
+	if g.transactions[session] == c {
+		delete(g.transactions, session)
 	}
 }
 
@@ -246,11 +240,8 @@
 		return
 	}
 	delete(g.conns, id)
-	for session, h := range g.transactions {
-		if h == c {
-			delete(g.transactions, session)
-			g.forgetSession(session)
-		}
+	for session := range g.transactions {
+		g.forgetTransaction(session, c)
 	}
 	go c.Close()
 }
@@ -347,23 +338,19 @@
 	c.busy = false
 	if !usable {
 		delete(g.conns, c.id)
-		delete(g.transactions, r.Session)
+		g.forgetTransaction(r.Session, c)
 		g.applyDecisions(g.queue.ConnectionLost(now, c.id))
-		g.forgetSession(r.Session)
 		go c.Close()
 		return
 	}
 	inside := c.transaction != call.OpenNone
-	if inside {
-		g.transactions[r.Session] = c
-	} else {
-		delete(g.transactions, r.Session)
+	switch {
+	case !inside:
+		g.forgetTransaction(r.Session, c)
+	case !r.Inside:
+		g.transactions[r.Session], c.opener = c, id
 	}
 	g.applyDecisions(g.queue.Finish(now, id, inside))
-	if !inside {
-		c.rollbackPending = false
-		g.forgetSession(r.Session)
-	}
 }
 
 // endTransaction rolls back the transaction of a session. If one of its statements is
@@ -372,15 +359,16 @@
 func (g *Gateway) endTransaction(session string) {
 	g.mu.Lock()
 	c := g.transactions[session]
-	if c == nil || c.busy || g.inflight[session] > 0 {
-		if c != nil {
-			c.rollbackPending = true
-		}
+	if g.inflight[session] > 0 {
+		g.ended[session] = true
+		g.mu.Unlock()
+		return
+	}
+	if c == nil || c.busy { // without a request in flight, a busy connection is being rolled back
 		g.mu.Unlock()
 		return
 	}
-	c.busy, c.rollbackPending = true, false
-	n := g.sessionNumbers[session]
+	c.busy = true
 	delete(g.transactions, session)
 	g.mu.Unlock()
 	a, err := c.Rollback(g.gateways.now().Add(controlTimeout))
@@ -389,13 +377,12 @@
 	c.busy = false
 	if err == nil && a.Code == call.OK {
 		c.transaction, c.wrote = call.OpenNone, false
-		g.applyDecisions(g.queue.TransactionEnded(g.gateways.now(), n))
+		g.applyDecisions(g.queue.TransactionEnded(g.gateways.now(), c.opener))
 	} else {
 		delete(g.conns, c.id)
-		g.applyDecisions(g.queue.SessionClosed(g.gateways.now(), n))
+		g.applyDecisions(g.queue.SessionClosed(g.gateways.now(), c.opener))
 		go c.Close()
 	}
-	g.forgetSession(session)
 }
 
 // setHeld stops or resumes the start of new work, and returns the number of running
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 type fakeUpstream struct {
 	mu     sync.Mutex
 	sent   []string
+	alone  []string // statements of callers that ran outside of a transaction
 	teams  []string
 	open   int
 	answer func(text string) (call.Answer, error)
@@ -55,6 +56,9 @@
 	c.upstream.mu.Lock()
 	defer c.upstream.mu.Unlock()
 	c.upstream.sent = append(c.upstream.sent, text)
+	if strings.Contains(text, " ") && !strings.HasPrefix(text, "begin") && !c.inTransaction {
+		c.upstream.alone = append(c.upstream.alone, text)
+	}
 	var a call.Answer
 	var err error
 	if c.upstream.answer != nil {
@@ -291,6 +295,116 @@
 	wantSent(t, s, "begin read", "read 2", "rollback")
 }
 
+// busyFirstTry starts a transaction whose first statement finds no free slot until its time
+// is over. The rollback behind the answer is blocked until finish is closed.
+func busyFirstTry(t *testing.T) (s *fakeUpstream, g *Gateways, rollingBack chan bool, finish chan bool) {
+	t.Helper()
+	rollingBack, finish = make(chan bool), make(chan bool)
+	s, g = newTestGateways(func(text string) (call.Answer, error) {
+		if text == "read 1" {
+			return call.Answer{Code: call.Busy}, nil
+		}
+		return call.Answer{}, nil
+	})
+	s.block = func(text string) {
+		if text == "rollback" {
+			close(rollingBack)
+			<-finish
+		}
+	}
+	first := withOpen(newRequest("s", "1", call.Read), call.OpenWrite)
+	first.Budget = 30 * time.Millisecond
+	if r := g.Run(context.Background(), first); r.Code != call.Busy || r.Ran != call.RanNo {
+		t.Fatalf("reply to the first try: %+v", r)
+	}
+	<-rollingBack
+	return s, g, rollingBack, finish
+}
+
+// wantCommitted runs the rest of session "s"'s transaction, and checks that all of it ran
+// inside the transaction.
+func wantCommitted(t *testing.T, s *fakeUpstream, g *Gateways) {
+	t.Helper()
+	for _, st := range []call.Request{newRequest("s", "3", call.Write), newRequest("s", "4", call.Commit)} {
+		if r := g.Run(context.Background(), withInside(st)); r.Code != call.OK {
+			t.Errorf("reply to %s: %+v", st.Statement.Kind, r)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.alone) > 0 {
+		t.Errorf("%q ran outside of a transaction; sent %q", s.alone, s.sent)
+	}
+}
+
+// The first statement of a transaction is tried again while the failed try is still being
+// rolled back. Guards against a write outside of its transaction, which is kept although
+// the caller is told that nothing is.
+func TestRollbackDuringNextTry(t *testing.T) {
+	waitReleased := func(t *testing.T, g *Gateways, running int) {
+		t.Helper()
+		for deadline := time.Now().Add(2 * time.Second); g.Usage().Running != running; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d statements are running, want %d", g.Usage().Running, running)
+			}
+		}
+	}
+	second := withOpen(newRequest("s", "2", call.Read), call.OpenWrite)
+	t.Run("the rollback ends while the next try is running", func(t *testing.T) {
+		s, g, _, finish := busyFirstTry(t)
+		running, proceed := make(chan bool), make(chan bool)
+		s.block = func(text string) {
+			switch text {
+			case "read 2":
+				close(running)
+				<-proceed
+			}
+		}
+		done := make(chan call.Reply)
+		go func() { done <- g.Run(context.Background(), second) }()
+		<-running
+		close(finish)
+		waitReleased(t, g, 1)
+		close(proceed)
+		if r := <-done; r.Code != call.OK {
+			t.Errorf("reply to the next try: %+v", r)
+		}
+		wantCommitted(t, s, g)
+	})
+	t.Run("the rollback ends after the next try", func(t *testing.T) {
+		s, g, _, finish := busyFirstTry(t)
+		if r := g.Run(context.Background(), second); r.Code != call.OK {
+			t.Errorf("reply to the next try: %+v", r)
+		}
+		close(finish)
+		waitReleased(t, g, 0)
+		wantCommitted(t, s, g)
+	})
+}
+
+// The end of a transaction arrives while its first statement is running. Guards against a
+// transaction that stays open, with its locks and its connection, until it has been idle
+// for too long.
+func TestEndDuringFirstStatement(t *testing.T) {
+	running, proceed := make(chan bool), make(chan bool)
+	s, g := newTestGateways(nil)
+	s.block = func(text string) {
+		if text == "read 1" {
+			close(running)
+			<-proceed
+		}
+	}
+	done := make(chan call.Reply)
+	go func() {
+		done <- g.Run(context.Background(), withOpen(newRequest("s", "1", call.Read), call.OpenRead))
+	}()
+	<-running
+	g.EndTransaction("u", "s")
+	close(proceed)
+	<-done
+	wantSent(t, s, "begin read", "read 1", "rollback")
+}
+
 // The end of a transaction arrives while one of its statements is running. Guards against
 // sending the rollback at once: with two statements on one connection, the answer of one
 // would be taken for that of the other.
--- a/io/instance/run.go
+++ b/io/instance/run.go
@@ -59,7 +59,7 @@
 	g.waiters[id] = waiter{turn: ch, term: r.header.Term}
 	now := g.in.now()
 	g.perform(g.queue.Enqueue(now, queue.Request{
-		ID: id, Team: r.header.Team, Session: r.queueSession, Begin: begin, Deadline: now.Add(wait),
+		ID: id, Team: r.header.Team, Session: r.queueSession, Begin: begin, Inside: r.connectionHeld, Deadline: now.Add(wait),
 	}))
 	g.mu.Unlock()
 	var d queue.Decision
