node: Routing never holds two locks at a time

Cause: fetchFloor held the lock of primaries and took Node.mu for an argument of its go statement; chooseUpstream held Node.mu and asked primaries for a floor and for the primary. Two statements on two threads hang the instance for good.

Now routing takes its view of the group before Node.mu, and fetchFloor asks for the coordinator before it locks. The readiness probe takes both locks, so that an instance that can't route is taken out of rotation. The other nested locks of io/node, io/gateway, io/caller, io/peer were read; none is taken in both orders.

--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -319,7 +319,7 @@
 	sent := 0
 	for range 100 { // a second
 		for range 10 { // waiting statements
-			if ps.primaryForStatements("g0") == "u1" {
+			if ps.view("g0", now).primary == "u1" {
 				sent++
 			}
 		}
@@ -336,7 +336,7 @@
 		t.Error("waiting statements are not woken by the first proof")
 	}
 	for range 10 {
-		if ps.primaryForStatements("g0") != "u1" {
+		if ps.view("g0", now).primary != "u1" {
 			t.Error("a statement waits although the upstream acts as the primary")
 		}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -160,8 +160,13 @@
 // settings returns the settings in force.
 func (n *Node) settings() *Settings { return n.activeSettings.Load() }
 
-// Ready reports whether the instance accepts new callers.
-func (n *Node) Ready() bool { return n.ready.Load() && !n.draining.Load() }
+// Ready reports whether the instance accepts new callers. It takes the locks that each
+// statement takes, so that an instance that can't route does not answer its probe.
+func (n *Node) Ready() bool {
+	n.nextChange()
+	n.primaries.groupNames()
+	return n.ready.Load() && !n.draining.Load()
+}
 
 // Serve runs the instance until the context ends, and then drains it.
 func (n *Node) Serve(ctx context.Context) error {
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -101,7 +101,8 @@
 
 // primaries holds the views of all groups, and coordinates promotions in some of them.
 type primaries struct {
-	n      *Node
+	n *Node
+	// mu is never held while Node.mu is taken, nor the other way round: statements need both.
 	mu     sync.Mutex
 	groups map[string]*group
 	wakeup chan struct{}
@@ -129,12 +130,33 @@
 	return g
 }
 
-// primaryForStatements returns the upstream to which statements for the primary are sent, or
-// "" if there is none now.
-func (ps *primaries) primaryForStatements(name string) string {
+// groupView is what routing knows of a group.
+type groupView struct {
+	// primary is the upstream to which statements for the primary are sent, or "" if there is
+	// none now.
+	primary string
+	// believed is the upstream that this instance takes for the primary, or "".
+	believed string
+	// floor is the oldest known floor that satisfies a staleness bound, and floorTime the
+	// floor's time, if hasFloor is set.
+	floor     wal.Position
+	floorTime time.Time
+	hasFloor  bool
+}
+
+// view returns the view of a group for a statement whose reads show data no older than since.
+func (ps *primaries) view(name string, since time.Time) groupView {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(name)
+	v := groupView{primary: ps.primaryForStatement(g), believed: g.primary}
+	v.floor, v.floorTime, v.hasFloor = g.floors.Oldest(since)
+	return v
+}
+
+// primaryForStatement returns the upstream to which a statement for the primary is sent, or
+// "" if there is none now. The caller holds the lock.
+func (ps *primaries) primaryForStatement(g *group) string {
 	now := ps.n.now()
 	if now.Before(g.avoidUntil) {
 		return ""
@@ -161,32 +183,27 @@
 	return g.primary == upstream && takesOver(g, ps.n.now())
 }
 
-// isPrimary reports whether this instance takes an upstream for the primary.
-func (ps *primaries) isPrimary(name, upstream string) bool {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return ps.group(name).primary == upstream
-}
-
-// floorSince returns the oldest known floor that satisfies a staleness bound, and the
-// floor's time. A floor is a position that the primary had at that time: a read from a
-// replica that has applied it shows data no older than since.
-func (ps *primaries) floorSince(name string, since time.Time) (wal.Position, time.Time, bool) {
+// hasFloor reports whether a floor is known that satisfies a staleness bound. A floor is a
+// position that the primary had at some time: a read from a replica that has applied it shows
+// data no older than that.
+func (ps *primaries) hasFloor(name string, since time.Time) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	return ps.group(name).floors.Oldest(since)
+	_, _, ok := ps.group(name).floors.Oldest(since)
+	return ok
 }
 
 // fetchFloor gets a floor from the group's coordinator, which has probed the primary a short
 // time ago. Without a floor, reads that accept stale data could only run at the primary. At
 // most one request per group is in flight, and other reads wait for its result.
 func (ps *primaries) fetchFloor(ctx context.Context, name string) {
+	coordinator := ps.n.coordinatorOf(name).Address
 	ps.mu.Lock()
 	g := ps.group(name)
 	done := g.floorFetched
 	if done == nil {
 		g.floorFetched = make(chan struct{})
-		go ps.fetchFloorFrom(g, ps.n.coordinatorOf(name).Address)
+		go ps.fetchFloorFrom(g, coordinator)
 		done = g.floorFetched
 	}
 	ps.mu.Unlock()
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -98,7 +98,7 @@
 // others if that fails.
 func (n *Node) runUnpinned(ctx context.Context, op *caller.Operation, s call.Statement, deadline time.Time) call.Reply {
 	if r := op.Grant.Route; r.Consistency != access.Primary && !s.IsWrite() && op.Kind != call.Begin {
-		if _, _, ok := n.primaries.floorSince(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness)); !ok {
+		if !n.primaries.hasFloor(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness)) {
 			n.primaries.fetchFloor(ctx, r.Group)
 		}
 	}
@@ -187,26 +187,22 @@
 func (n *Node) chooseUpstream(op *caller.Operation, s call.Statement, tried map[string]int) (choice, bool) {
 	snap := n.snapshot.Load()
 	r := op.Grant.Route
-	primary := n.primaries.primaryForStatements(r.Group)
+	view := n.primaries.view(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness))
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r.Consistency == access.Primary || s.IsWrite() || op.Kind == call.Begin {
-		return n.choosePrimary(snap, op, primary, tried, now)
+	if r.Consistency == access.Primary || s.IsWrite() || op.Kind == call.Begin || !view.hasFloor {
+		return n.choosePrimary(snap, op, view, tried, now)
 	}
-	floor, floorTime, ok := n.primaries.floorSince(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness))
-	if !ok {
-		return n.choosePrimary(snap, op, primary, tried, now)
-	}
-	after := floor
+	after := view.floor
 	if op.LastCommit.Compare(after) > 0 {
 		after = op.LastCommit
 	}
 	best, found := choice{}, false
 	var cost time.Duration
 	for _, u := range snap.groups[r.Group] {
-		c, ok := n.selectGateway(snap, op, u, now)
-		if !ok || tried[u.Name] > 0 && u.Name != primary {
+		c, ok := n.selectGateway(snap, op, u, view, now)
+		if !ok || tried[u.Name] > 0 && u.Name != view.primary {
 			continue
 		}
 		c.reason, c.after = "replica", after
@@ -214,7 +210,7 @@
 		if op.Kind != "" {
 			c.open = call.OpenRead
 		}
-		if u.Name == primary {
+		if u.Name == view.primary {
 			if tried[u.Name] > 2 {
 				continue
 			}
@@ -230,22 +226,22 @@
 		}
 	}
 	if !found {
-		return n.choosePrimary(snap, op, primary, tried, now)
+		return n.choosePrimary(snap, op, view, tried, now)
 	}
 	if best.reason == "replica" {
-		n.metrics.stalenessMargin.Update(floorTime.Sub(op.Arrived.Add(-r.Staleness)).Seconds())
+		n.metrics.stalenessMargin.Update(view.floorTime.Sub(op.Arrived.Add(-r.Staleness)).Seconds())
 	}
 	return best, true
 }
 
 // choosePrimary selects the primary. An upstream that is no longer the primary refuses the
-// statement.
-func (n *Node) choosePrimary(snap *snapshot, op *caller.Operation, primary string, tried map[string]int, now time.Time) (choice, bool) {
-	u := snap.upstreams[primary]
-	if !n.mayUsePrimaries() || u == nil || tried[primary] >= maxAttempts/2 || now.Sub(n.statsOf(primary).fullAt) < refusedRetry {
+// statement. The caller holds the lock.
+func (n *Node) choosePrimary(snap *snapshot, op *caller.Operation, view groupView, tried map[string]int, now time.Time) (choice, bool) {
+	u := snap.upstreams[view.primary]
+	if !n.mayUsePrimaries() || u == nil || tried[u.Name] >= maxAttempts/2 || now.Sub(n.statsOf(u.Name).fullAt) < refusedRetry {
 		return choice{}, false
 	}
-	c, ok := n.selectGateway(snap, op, u, now)
+	c, ok := n.selectGateway(snap, op, u, view, now)
 	c.reason, c.open = "primary", call.OpenNone
 	switch {
 	case op.Kind != "":
@@ -258,8 +254,8 @@
 
 // selectGateway selects the gateway for an upstream, if the upstream may serve the
 // operation. The caller holds the lock.
-func (n *Node) selectGateway(snap *snapshot, op *caller.Operation, u *upstream, now time.Time) (choice, bool) {
-	if !op.Grant.AllowsRegion(u.place.Region) || !u.eligible && !n.mayStartWork(snap, u, now) {
+func (n *Node) selectGateway(snap *snapshot, op *caller.Operation, u *upstream, view groupView, now time.Time) (choice, bool) {
+	if !op.Grant.AllowsRegion(u.place.Region) || !u.eligible && !(u.Name == view.believed && n.mayPrimaryStartWork(snap, u, now)) {
 		return choice{}, false
 	}
 	var c choice
@@ -278,15 +274,16 @@
 	return c, found
 }
 
-// mayStartWork reports whether an upstream that is leaving, or whose failure domain is out,
-// may still start work: the primary may, until the switchover must be finished.
-func (n *Node) mayStartWork(snap *snapshot, u *upstream, now time.Time) bool {
+// mayPrimaryStartWork reports whether a primary that is leaving, or whose failure domain is
+// out, may still start work: it may until the switchover must be finished. The caller holds the
+// lock.
+func (n *Node) mayPrimaryStartWork(snap *snapshot, u *upstream, now time.Time) bool {
 	bound := n.settings().LeaveTimeout
 	if snap.outDomains[u.Domain] {
 		bound = n.settings().EvacuateTimeout
 	}
 	since, ok := n.ineligibleSince[u.Name]
-	return ok && n.primaries.isPrimary(u.Group, u.Name) && now.Sub(since) < bound-leaveMargin
+	return ok && now.Sub(since) < bound-leaveMargin
 }
 
 // mustEndTransactions reports whether even open transactions at an upstream must end.
