--- a/io/node/lockorder_test.go
+++ b/io/node/lockorder_test.go
@@ -29,7 +29,11 @@
 func TestLockOrder(t *testing.T) {
 	n := newLargeNode(t)
 	n.ready.Store(true)
+	settings := *n.settings()
+	settings.ApplyTimeout, settings.EvacuateTimeout, settings.LeaveTimeout = time.Second, time.Second, time.Second
+	n.activeSettings.Store(&settings)
 	n.platform.Controls, n.platform.Dialer, n.platform.Store = deadUpstreams{}, deadUpstreams{}, listStore{objects: nil}
+	n.gateways = gateway.New(deadUpstreams{}, n.metrics, n.log, n.now)
 	locks := map[string]*sync.Mutex{"node": &n.mu, "primaries": &n.primaries.mu, "limits": &n.limits.mu, "tables": &n.tables.mu, "build": &n.buildMu}
 	for waited, lock := range locks {
 		for what, work := range lockingWork(n) {
