node: Statements are answered before a shutdown closes their connections

Now an open transaction has half of the shutdown; after that a statement is passed on only if its answer is due before the end, and is refused with ABORTED otherwise. What is unanswered at the end is answered with what is known. The gateway of another instance's transaction decides in the same way, so that its COMMIT is not in doubt.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -46,6 +46,8 @@
 	startTimeout = 5 * time.Second
 	// writeTimeout limits how long a caller may leave an answer unread.
 	writeTimeout = 5 * time.Second
+	// abandonTimeout limits the wait for an answer that is being written when the server ends.
+	abandonTimeout = 100 * time.Millisecond
 	// configWait limits how long a new session waits for the first configuration. Callers
 	// give up after 2 s.
 	configWait = 1500 * time.Millisecond
@@ -84,9 +86,16 @@
 	idle          bool // waits for the next statement outside a transaction
 	draining      bool // ends once it is idle
 	inTransaction bool
+
+	answering sync.Mutex // held while an answer is written
+	// unanswered is the statement that is being executed, and abandoned the answer to it if the
+	// connection ends before. Both are guarded by answering.
+	unanswered *call.Statement
+	abandoned  call.Answer
 }
 
-// Serve accepts connections until the context ends, and then closes them.
+// Serve accepts connections until the context ends, and then closes them. Statements that are
+// being executed are answered first, with what is known of them.
 func (s *Server) Serve(ctx context.Context) error {
 	s.mu.Lock()
 	s.conns = make(map[*conn]struct{})
@@ -96,7 +105,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.conns {
-			c.Close()
+			go c.abandon()
 		}
 	})
 	defer stop()
@@ -197,14 +206,53 @@
 		if end {
 			return
 		}
-		a := session.Execute(ctx, st)
-		if err := c.writeWithTimeout(func() error { return c.protocol.WriteAnswer(a) }); err != nil {
-			c.server.Log.V(1).Info("caller: answer not delivered", "id", st.ID, "err", err.Error())
+		c.expectAnswer(&st, session.AbandonedAnswer(st))
+		if a := session.Execute(ctx, st); !c.answer(a, writeTimeout) {
 			return
 		}
 	}
 }
 
+// expectAnswer records a statement that is about to be executed, and the answer to it if the
+// connection ends before.
+func (c *conn) expectAnswer(st *call.Statement, abandoned call.Answer) {
+	c.answering.Lock()
+	defer c.answering.Unlock()
+	c.unanswered, c.abandoned = st, abandoned
+}
+
+// answer writes the answer to the unanswered statement, if there is one, and reports whether it
+// was written.
+func (c *conn) answer(a call.Answer, timeout time.Duration) bool {
+	c.answering.Lock()
+	defer c.answering.Unlock()
+	if c.unanswered == nil {
+		return false
+	}
+	id := c.unanswered.ID
+	c.unanswered = nil
+	if err := c.writeWithTimeout(timeout, func() error { return c.protocol.WriteAnswer(a) }); err != nil {
+		c.server.Log.V(1).Info("caller: answer not delivered", "id", id, "err", err.Error())
+		return false
+	}
+	return true
+}
+
+// abandon answers the statement that is being executed, and closes the connection.
+func (c *conn) abandon() {
+	defer c.Close()
+	// An answer that is being written to a caller which does not read must not delay the end.
+	if err := c.SetWriteDeadline(time.Now().Add(abandonTimeout)); err != nil {
+		return
+	}
+	c.answering.Lock()
+	st, a := c.unanswered, c.abandoned
+	c.answering.Unlock()
+	if st != nil && c.answer(a, abandonTimeout) {
+		c.server.Log.Info("caller: statement abandoned at the end of the shutdown", "id", st.ID, "kind", st.Kind, "code", a.Code)
+	}
+}
+
 // logUnexpectedEnd logs that a connection ended inside a transaction.
 func (c *conn) logUnexpectedEnd(session *Session, err error) {
 	if session.InTransaction() {
@@ -213,8 +261,8 @@
 }
 
 // writeWithTimeout calls send with a write deadline set on the connection.
-func (c *conn) writeWithTimeout(send func() error) error {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+func (c *conn) writeWithTimeout(timeout time.Duration, send func() error) error {
+	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
 	return send()
@@ -240,12 +288,12 @@
 	}
 	if code != call.OK {
 		c.server.Log.Info("caller: session refused", "database", database, "code", code)
-		if err := c.writeWithTimeout(func() error { return c.protocol.WriteRefusal(code, text) }); err != nil {
+		if err := c.writeWithTimeout(writeTimeout, func() error { return c.protocol.WriteRefusal(code, text) }); err != nil {
 			c.server.Log.V(1).Info("caller: refusal not delivered", "err", err.Error())
 		}
 		return nil
 	}
-	if c.writeWithTimeout(c.protocol.WriteReady) != nil {
+	if c.writeWithTimeout(writeTimeout, c.protocol.WriteReady) != nil {
 		return nil
 	}
 	name := fmt.Sprintf("%s/%d", c.server.SessionPrefix, c.server.sessionCount.Add(1))
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -130,6 +130,22 @@
 	return s.failTransaction(refusalAnswer(call.BadInput, "the statement is not understood"))
 }
 
+// AbandonedAnswer returns the answer to a statement of which it is not known whether it ran, and
+// whose session ends with the answer. It is called before the statement is executed.
+func (s *Session) AbandonedAnswer(st call.Statement) call.Answer {
+	if p, ok := s.prepared[st.Name]; ok && st.Kind == call.Execute {
+		st.Writes = p.writes
+	}
+	a := call.Answer{Code: call.Aborted, Text: "the instance has shut down", State: call.Broken}
+	switch {
+	case st.Kind == call.Commit && s.state == call.Active, st.IsWrite() && s.state == call.Idle:
+		a.Code, a.State = call.InDoubt, call.Idle
+	case s.state == call.Idle:
+		a.State = call.Idle
+	}
+	return a
+}
+
 // withValue returns a copy of the list, sorted by name, in which v replaces a value of
 // the same name.
 func withValue(list []call.Value, v call.Value) []call.Value {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 	"burdockseam/core/access"
 	"burdockseam/core/failover"
 	"burdockseam/core/placement"
+	"burdockseam/core/shutdown"
 	"burdockseam/core/wal"
 	"burdockseam/io/boottime"
 	"burdockseam/io/caller"
@@ -89,6 +90,7 @@
 	primaries  *primaries
 	ready      atomic.Bool
 	draining   atomic.Bool
+	stopping   atomic.Pointer[shutdown.Plan] // nil before the shutdown
 
 	buildMu sync.Mutex // held while a snapshot is built and put into force
 
@@ -327,47 +329,6 @@
 	return err
 }
 
-// Durations of a graceful shutdown.
-const (
-	// readinessDelay is the time after which no new caller is sent to this instance: the
-	// readiness probe runs every second, and two failures take an instance out of rotation.
-	readinessDelay = 2200 * time.Millisecond
-	// exitReserve is the part of the drain timeout that is left for the process to exit.
-	exitReserve       = 500 * time.Millisecond
-	drainPollInterval = 25 * time.Millisecond
-)
-
-// drain takes the instance out of service because of a cause. The instance stops being ready at
-// once, peers place no new work on it, and each session is closed when it has no open
-// transaction.
-func (n *Node) drain(ctx context.Context, cause error) {
-	began := n.now()
-	n.draining.Store(true)
-	open, active := n.callers.Sessions()
-	n.log.Info("shutdown: draining", "sessions", open, "transactions", active, "why", errorText(cause))
-	go func() {
-		if err := n.writeOwnObject(ctx, true); err != nil {
-			n.log.Info("shutdown: instance not marked as leaving in the store", "err", err.Error())
-		}
-	}()
-	n.broadcast(ctx, "Node.Leave", LeaveNotice{Address: n.self.Address})
-	for n.now().Sub(began) < min(readinessDelay, n.settings().DrainTimeout/2) {
-		sleep(ctx, drainPollInterval)
-		n.gateways.TrimIdle()
-	}
-	n.callers.Drain()
-	n.limits.close()
-	for n.now().Sub(began) < n.settings().DrainTimeout-exitReserve {
-		if open, _ = n.callers.Sessions(); open == 0 && n.gateways.OpenWork() == 0 {
-			break
-		}
-		sleep(ctx, drainPollInterval)
-		n.gateways.TrimIdle()
-	}
-	open, active = n.callers.Sessions()
-	n.log.Info("shutdown: drained", "cut", open, "transactions", active, "upstreams", n.gateways.OpenWork(), "took", n.now().Sub(began))
-}
-
 // CheckAccess implements caller.Router.
 func (n *Node) CheckAccess(database string, c access.Credential) (code callCode) {
 	_, code = n.snapshot.Load().policy.Authorize(database, c)
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -85,9 +85,12 @@
 	began := n.now()
 	deadline := began.Add(op.Grant.Route.Timeout)
 	var r call.Reply
-	if op.Upstream != "" {
+	switch {
+	case !n.acceptsStatement(op.Grant.Route.Timeout):
+		r = refuseAtShutdown(op)
+	case op.Upstream != "":
 		r = n.runPinned(ctx, op, s, deadline)
-	} else {
+	default:
 		r = n.runUnpinned(ctx, op, s, deadline)
 	}
 	n.accountStatement(op, s, r, n.now().Sub(began))
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -176,10 +176,17 @@
 	return ps.group(name).superseded == upstream
 }
 
-// runAtGateway runs a request at this instance's gateway, unless it needs a primary and the
-// upstream is superseded or might be. A read that ran while the upstream was superseded is not
+// runAtGateway runs a request at this instance's gateway, unless the instance might end before
+// the answer, or the request needs a primary and the upstream is superseded or might be. A read that ran while the upstream was superseded is not
 // answered with its rows, because they may lack commits of the new primary.
 func (n *Node) runAtGateway(ctx context.Context, r call.Request) call.Reply {
+	switch {
+	case n.acceptsStatement(r.Budget):
+	case r.Inside:
+		return call.Refusal(call.Aborted, "the gateway is shutting down")
+	default:
+		return call.Refusal(call.Misrouted, "the gateway is shutting down") // another gateway can run it
+	}
 	needsPrimary := r.Open == call.OpenFence || r.Open == call.OpenWrite || r.Statement.IsWrite()
 	if needsPrimary && n.primaries.isSuperseded(r.Group, r.Upstream) {
 		return call.Refusal(call.ReadOnly, "another upstream is being promoted")
