logs: A line that is logged after the end is discarded

Cause: stop closed the queue while work that outlives the instance's context could still log. Now the queue is never closed.

--- a/io/logs/background.go
+++ b/io/logs/background.go
@@ -17,22 +17,24 @@
 // blocking the caller.
 type backgroundWriter struct {
 	lines   chan []byte
+	ended   chan struct{} // closed by stop
 	mu      sync.Mutex
 	dropped int
 }
 
 // NewBackgroundWriter returns a writer that queues lines and writes them to out in the
 // background, in batches if several are queued. Each Write must be a whole line. stop
-// writes the queued lines and ends the background goroutine; w must not be used after it.
+// writes the queued lines and ends the background goroutine. Lines that are written to w after
+// it are discarded.
 func NewBackgroundWriter(out io.Writer) (w io.Writer, stop func()) {
-	b := &backgroundWriter{lines: make(chan []byte, maxQueuedLines)}
+	b := &backgroundWriter{lines: make(chan []byte, maxQueuedLines), ended: make(chan struct{})}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		b.writeLines(out)
 	}()
 	return b, func() {
-		close(b.lines)
+		close(b.ended)
 		<-done
 	}
 }
@@ -49,17 +51,29 @@
 	return len(line), nil
 }
 
-// writeLines writes the queued lines until the queue is closed and empty.
+// writeLines writes the queued lines until stop is called and the queue is empty.
 func (b *backgroundWriter) writeLines(out io.Writer) {
-	for line := range b.lines {
-		batch := line
-		for n := 1; n < maxBatchLines && len(b.lines) > 0; n++ {
-			batch = append(batch, <-b.lines...)
-		}
-		// If a write fails, the log has no reader any more, so the lines are discarded.
-		if _, err := out.Write(batch); err != nil {
-			continue
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeBatch(out, line)
+		case <-b.ended:
+			for len(b.lines) > 0 {
+				b.writeBatch(out, <-b.lines)
+			}
+			return
 		}
+	}
+}
+
+// writeBatch writes a line and those that are queued behind it.
+func (b *backgroundWriter) writeBatch(out io.Writer, line []byte) {
+	batch := line
+	for n := 1; n < maxBatchLines && len(b.lines) > 0; n++ {
+		batch = append(batch, <-b.lines...)
+	}
+	// If a write fails, the log has no reader any more, so the lines are discarded.
+	if _, err := out.Write(batch); err == nil {
 		b.reportDropped(out)
 	}
 }
--- a/io/logs/background_test.go
+++ b/io/logs/background_test.go
@@ -44,3 +44,22 @@
 		t.Errorf("%d lines written and %d reported as dropped, of %d", written, dropped, lines)
 	}
 }
+
+// TestLinesAfterStop guards against a process that panics at the end of its shutdown because work
+// that is still under way logs a line.
+func TestLinesAfterStop(t *testing.T) {
+	var out bytes.Buffer
+	w, stop := NewBackgroundWriter(&out)
+	for range 300 {
+		if _, err := w.Write([]byte("before\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	if n, err := w.Write([]byte("after\n")); n != len("after\n") || err != nil {
+		t.Errorf("wrote %d bytes, error %v", n, err)
+	}
+	if got := strings.Count(out.String(), "before\n"); got != 300 {
+		t.Errorf("%d lines were written before the end, want 300", got)
+	}
+}
