--- a/io/node/node.go
+++ b/io/node/node.go
@@ -166,7 +166,7 @@
 // statement takes, so that an instance that can't route does not answer its probe.
 func (n *Node) Ready() bool {
 	n.nextChange()
-	n.primaries.groupNames()
+	n.primaries.groupCount()
 	return n.ready.Load() && !n.draining.Load()
 }
 
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -177,8 +177,9 @@
 }
 
 // runAtGateway runs a request at this instance's gateway, unless the instance might end before
-// the answer, or the request needs a primary and the upstream is superseded or might be. A read that ran while the upstream was superseded is not
-// answered with its rows, because they may lack commits of the new primary.
+// the answer, or the request needs a primary and the upstream is superseded or might be. A read
+// that ran while the upstream was superseded is not answered with its rows, because they may lack
+// commits of the new primary.
 func (n *Node) runAtGateway(ctx context.Context, r call.Request) call.Reply {
 	switch {
 	case n.acceptsStatement(r.Budget):
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// groupCount returns the number of groups that this instance has a view of.
+func (ps *primaries) groupCount() int {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return len(ps.groups)
+}
+
 func (ps *primaries) groupNames() []string {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
