--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,17 +197,17 @@
 	}
 }
 
-// slowSchema blocks the decoding of an entry until it is released.
+// slowSchema blocks the first decoding of an entry until it is released.
 type slowSchema struct {
 	testSchema
+	started          *atomic.Bool
 	reading, release chan struct{}
 }
 
 func (s slowSchema) Upstream(o Object) (Entry, error) {
-	select {
-	case s.reading <- struct{}{}:
+	if s.started.CompareAndSwap(false, true) {
+		close(s.reading)
 		<-s.release
-	default:
 	}
 	return s.testSchema.Upstream(o)
 }
@@ -214,7 +215,7 @@
 // TestNewerSnapshotStays guards against a change that is lost until the next change, because
 // a snapshot of older tables came into force after a newer one.
 func TestNewerSnapshotStays(t *testing.T) {
-	schema := slowSchema{reading: make(chan struct{}), release: make(chan struct{})}
+	schema := slowSchema{started: new(atomic.Bool), reading: make(chan struct{}), release: make(chan struct{})}
 	n, err := New(Settings{Name: "a", Domain: "d1", Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Advertise: "a"}, Platform{Schema: schema}, logr.Discard())
 	if err != nil {
 		t.Fatal(err)
@@ -223,6 +224,9 @@
 		n.tables.install(Table{Kind: k, Revision: revision, Objects: map[string]Object{name: {Name: name, Revision: revision, Data: []byte(data)}}})
 	}
 	install(KindPolicy, 1, "main", "{}")
+	n.mu.Lock()
+	n.nextBuildAt = time.Time{} // the first snapshot is built by the goroutine that waits for it
+	n.mu.Unlock()
 	first, second := make(chan struct{}), make(chan struct{})
 	go func() {
 		install(KindUpstream, 2, "u", "g d1 active")
