failover: A change waits for what the last promotion kept

Cause: the new primary may be the only upstream left with these commits, and a change leaves the primary out. Now a change pauses no replica while all of them tell positions before what the last promotion kept: while the primary works, and for 8 s if it does not.

Failed before: TestOrderedPromotion, "does not replace the only upstream with commits of an earlier term" (primary c, lost [2 3]).

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -19,6 +19,10 @@
 //   - A replica that disappears from the list of upstreams may also be the only replica
 //     that holds a commit. The old primary holds all commits, so a failover orders
 //     nothing for vanishedTimeout while the old primary is seen to work.
+//   - After a promotion, the new primary may be the only upstream that is left with commits
+//     which were acknowledged before. No replica is paused while none of them has the position
+//     that the promotion kept and the primary is seen to work, and for vanishedTimeout if it is
+//     not: it comes back with its log.
 //   - The platform may carry out an order later although it did not answer, so an order
 //     is repeated until it is answered.
 //   - A paused replica is never told to resume, since another instance may have paused it
@@ -96,9 +100,10 @@
 type candidateState struct {
 	Candidate
 	status      ReplicationStatus
-	pausedAt    time.Time // when the last answered pause was sent; zero without an answer
-	surveyedAt  time.Time // when the last answered survey was sent; zero without an answer
-	nextCommand time.Time // earliest time of the next command to the replica
+	pausedAt    time.Time    // when the last answered pause was sent; zero without an answer
+	surveyedAt  time.Time    // when the last answered survey was sent; zero without an answer
+	position    wal.Position // position of its log in the last answer to a survey; zero if unknown
+	nextCommand time.Time    // earliest time of the next command to the replica
 }
 
 // OrderedPromotion is the state machine of one group's ordered promotions.
@@ -126,6 +131,8 @@
 	heldUpstream        string        // upstream whose new work is held; "" if there is none
 	target              string
 	keptPosition        wal.Position // what the target had received when it was chosen
+	lastKept            wal.Position // what the last promotion kept; all commits acknowledged before it are in there
+	lackingSince        time.Time    // since when no replica has lastKept; zero if one has
 	finishedAt          time.Time
 	reason              string
 
@@ -161,6 +168,14 @@
 // replica that has started since is not paused and may acknowledge such commits.
 func (c *OrderedPromotion) KeptPosition() wal.Position { return c.keptPosition }
 
+// HandleKept records that a promotion was carried out, and the position up to which it kept the
+// commits of the primary before.
+func (c *OrderedPromotion) HandleKept(kept wal.Position) {
+	if kept.Compare(c.lastKept) > 0 {
+		c.lastKept = kept
+	}
+}
+
 // HasToken reports whether a fencing token is at hand.
 func (c *OrderedPromotion) HasToken() bool { return c.token > 0 }
 
@@ -219,8 +234,9 @@
 func (c *OrderedPromotion) enterPhase(now time.Time, p Phase) {
 	if p == PhaseSurvey || p == PhasePause {
 		for _, r := range c.candidates {
-			r.pausedAt, r.surveyedAt, r.nextCommand = time.Time{}, time.Time{}, time.Time{}
+			r.pausedAt, r.surveyedAt, r.nextCommand, r.position = time.Time{}, time.Time{}, time.Time{}, wal.Position{}
 		}
+		c.lackingSince = time.Time{}
 	}
 	c.phase, c.since, c.nextCommand = p, now, now
 }
@@ -330,17 +346,20 @@
 func (c *OrderedPromotion) surveyReplicas(now time.Time) []Command {
 	var out []Command
 	allReached := len(c.replicas()) > 0
+	lacking := c.lacksCommits()
 	for _, r := range c.replicas() {
-		if !r.surveyedAt.IsZero() && now.Sub(r.surveyedAt) < pauseValidity {
+		surveyed := !r.surveyedAt.IsZero() && now.Sub(r.surveyedAt) < pauseValidity
+		if surveyed && !lacking {
 			continue
 		}
-		allReached = false
+		allReached = allReached && surveyed
 		if !now.Before(r.nextCommand) {
 			r.nextCommand = now.Add(commandInterval)
 			out = append(out, Command{Action: ActionSurvey, Upstream: r.Upstream})
 		}
 	}
 	switch {
+	case allReached && c.mustWaitForKept(now, lacking):
 	case allReached && c.clear(now) && c.planned:
 		c.heldUpstream = c.primary
 		c.enterPhase(now, PhaseHold)
@@ -352,9 +371,33 @@
 	return out
 }
 
+// lacksCommits reports whether each replica has told a position before the one that the last
+// promotion kept, so that none of them has all commits that were acknowledged before it.
+func (c *OrderedPromotion) lacksCommits() bool {
+	for _, r := range c.replicas() {
+		if r.position == (wal.Position{}) || r.position.Compare(c.lastKept) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// mustWaitForKept reports whether no replica may be paused yet, because none has what the last
+// promotion kept. The primary has it.
+func (c *OrderedPromotion) mustWaitForKept(now time.Time, lacking bool) bool {
+	if !lacking {
+		c.lackingSince = time.Time{}
+		return false
+	}
+	if c.lackingSince.IsZero() {
+		c.lackingSince = now
+	}
+	return now.Sub(c.primarySeen) < primarySeenValidity || now.Sub(c.lackingSince) < vanishedTimeout
+}
+
 // HandleSurvey takes a replica's answer to a survey that was sent at the given time: whether
-// the replica is the primary, or the error of the request.
-func (c *OrderedPromotion) HandleSurvey(now, sent time.Time, upstream string, isPrimary bool, err error) {
+// the replica is the primary and the position of its log, or the error of the request.
+func (c *OrderedPromotion) HandleSurvey(now, sent time.Time, upstream string, isPrimary bool, position wal.Position, err error) {
 	r := c.findCandidate(upstream)
 	switch {
 	case r == nil || c.phase != PhaseSurvey:
@@ -363,7 +406,7 @@
 	case isPrimary:
 		c.HandlePrimaryConfirmed(now, upstream)
 	default:
-		r.surveyedAt = sent
+		r.surveyedAt, r.position = sent, position
 	}
 }
 
@@ -579,6 +622,7 @@
 		c.enterPhase(now, PhasePause)
 	case ResponseDone:
 		c.answered, c.primary, c.finishedAt = cmd.Token, c.target, now
+		c.HandleKept(c.keptPosition)
 		return c.target, c.finishChange(now)
 	}
 	return "", nil
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -247,6 +247,46 @@
 			t.Errorf("primary %s, want c", w.primary)
 		}
 	})
+	t.Run("does not replace the only upstream with commits of an earlier term", func(t *testing.T) {
+		// After a failover, the new primary reaches no replica with its log, so that its
+		// commits get no answer.
+		for _, test := range []struct {
+			name        string
+			primaryDown time.Duration
+			wantPrimary string
+			wantsLoss   bool
+		}{
+			{name: "the primary works", wantPrimary: "b"},
+			{name: "the primary is back in time", primaryDown: 5 * time.Second, wantPrimary: "b"},
+			{name: "the primary is lost", primaryDown: time.Hour, wantPrimary: "c", wantsLoss: true},
+		} {
+			t.Run(test.name, func(t *testing.T) {
+				w := newOrderedWorld(1)
+				x := w.instances[0]
+				w.commit(all)
+				w.commit(map[string]bool{"b": true})
+				w.commit(map[string]bool{"b": true})
+				w.down["a"] = true
+				x.promotion.Start(w.now, false, "test")
+				runUntilIdle(t, w, x)
+				w.names = []string{"b", "c"}
+				x.promotion.SetMembers("b", 2, w.candidates())
+				w.advance(changeCooldown)
+				x.promotion.Start(w.now, false, "test")
+				began := w.now
+				for range 200 {
+					w.advance(50 * time.Millisecond)
+					if w.down["b"] = w.now.Sub(began) < test.primaryDown; !w.down["b"] {
+						x.promotion.HandlePrimarySeen(w.now, "b")
+					}
+					w.tickAndPerform(x)
+				}
+				if w.primary != test.wantPrimary || (len(w.lost) > 0) != test.wantsLoss {
+					t.Errorf("primary %s, lost %v, want %s", w.primary, w.lost, test.wantPrimary)
+				}
+			})
+		}
+	})
 	t.Run("is given up while no replica has paused", func(t *testing.T) {
 		w := newOrderedWorld(1)
 		x := w.instances[0]
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -210,7 +210,7 @@
 		if answered && !w.down[c.Upstream] {
 			err = nil
 		}
-		x.promotion.HandleSurvey(w.now, sent, c.Upstream, w.primary == c.Upstream, err)
+		x.promotion.HandleSurvey(w.now, sent, c.Upstream, w.primary == c.Upstream, w.position(c.Upstream), err)
 	case ActionPause:
 		if w.down[c.Upstream] {
 			x.promotion.HandlePause(w.now, sent, c.Upstream, ReplicationStatus{}, errNoAnswer)
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -73,7 +73,7 @@
 			ps.recordProof(g.name, u.Name, sent, position, ps.n.now(), false)
 		}
 		ps.n.log.Info("group: upstream asked for its role", "group", g.name, "upstream", c.Upstream, "leads", isPrimary, "err", errorText(err))
-		ps.handleResult(func(now time.Time) { g.promotion.HandleSurvey(now, sent, c.Upstream, isPrimary, err) })
+		ps.handleResult(func(now time.Time) { g.promotion.HandleSurvey(now, sent, c.Upstream, isPrimary, position, err) })
 	}
 }
 
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -419,6 +419,9 @@
 	ps.supersede(g, upstream)
 	ps.setPrimary(g, upstream, "promoted")
 	g.promotedAt = ps.n.now()
+	if g.pendingPromotion.Upstream == upstream {
+		g.promotion.HandleKept(g.pendingPromotion.Kept)
+	}
 	g.promotion.HandlePrimaryConfirmed(g.promotedAt, upstream)
 	delete(g.refusedEntries, upstream)
 	ps.mu.Unlock()
