failover: A failover waits for a vanished replica also without the old primary

Cause: a replica whose entry had lapsed was waited for only while the old primary was seen to work. Now a failover waits for up to 8 s in any case, unless the replica was leaving.

TestOrderedPromotionWaitsForVanishedReplica: two new subtests fail with the old condition. The subtest "the old primary does not answer" asked for a promotion at once that loses a commit; it is replaced by one that checks both the wait and the promotion at its end, and by two more.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -17,8 +17,9 @@
 //     time to take effect. So no order of another instance takes effect between the
 //     answers to the pauses and this instance's order.
 //   - A replica that disappears from the list of upstreams may also be the only replica
-//     that holds a commit. The old primary holds all commits, so a failover orders
-//     nothing for vanishedTimeout while the old primary is seen to work.
+//     that holds a commit, and comes back with its log if it has crashed. So a failover
+//     orders nothing for vanishedTimeout. It does not wait for a replica that was leaving,
+//     unless the old primary, which holds all commits, is seen to work.
 //   - After a promotion, the new primary may be the only upstream that is left with commits
 //     which were acknowledged before. No replica is paused while none of them has the position
 //     that the promotion kept and the primary is seen to work, and for vanishedTimeout if it is
@@ -111,9 +112,9 @@
 	primary             string
 	term                uint64 // highest term seen
 	candidates          []*candidateState
-	vanished            []string  // upstreams whose entries disappeared during the change
-	vanishedAt          time.Time // when the first of them was noticed; zero if there is none
-	primarySeen         time.Time // when the old primary was last seen to work as primary
+	vanished            []Candidate // upstreams whose entries disappeared during the change
+	vanishedAt          time.Time   // when the first of them was noticed; zero if there is none
+	primarySeen         time.Time   // when the old primary was last seen to work as primary
 	phase               Phase
 	since               time.Time // start of the phase
 	nextCommand         time.Time // earliest time of the phase's next command
@@ -190,7 +191,7 @@
 	}
 	for _, r := range c.replicas() {
 		if !slices.ContainsFunc(list, func(m Candidate) bool { return m.Upstream == r.Upstream }) {
-			c.vanished = append(c.vanished, r.Upstream)
+			c.vanished = append(c.vanished, r.Candidate)
 		}
 	}
 	candidates := make([]*candidateState, 0, len(list))
@@ -204,7 +205,7 @@
 	}
 	c.candidates = candidates
 	// An upstream that is listed again can be asked itself.
-	c.vanished = slices.DeleteFunc(c.vanished, func(name string) bool { return c.findCandidate(name) != nil })
+	c.vanished = slices.DeleteFunc(c.vanished, func(m Candidate) bool { return c.findCandidate(m.Upstream) != nil })
 }
 
 // Start begins a change of the primary, which is a switchover if planned is set and a failover
@@ -249,18 +250,15 @@
 }
 
 // mustWaitForVanished reports whether nothing may be ordered yet, because a replica has
-// vanished and the working old primary may be the only upstream left that holds a commit. A
-// switchover does not wait: new work at the old primary has ended before the pauses, and the
-// old primary must be left in time.
+// vanished that may be the only one that holds a commit. A replica that was leaving does not
+// come back, but a working old primary holds what it held. A switchover does not wait: new work
+// at the old primary has ended before the pauses, and the old primary must be left in time.
 func (c *OrderedPromotion) mustWaitForVanished(now time.Time) bool {
 	if len(c.vanished) == 0 {
-		c.vanishedAt = time.Time{}
 		return false
 	}
-	if c.vanishedAt.IsZero() {
-		c.vanishedAt = now
-	}
-	return !c.planned && now.Sub(c.vanishedAt) < vanishedTimeout && now.Sub(c.primarySeen) < primarySeenValidity
+	mayReturn := slices.ContainsFunc(c.vanished, func(m Candidate) bool { return !m.Ineligible })
+	return !c.planned && now.Sub(c.vanishedAt) < vanishedTimeout && (mayReturn || now.Sub(c.primarySeen) < primarySeenValidity)
 }
 
 // HandlePrimaryConfirmed records that an upstream was proven to be the primary, or was
@@ -301,6 +299,12 @@
 // Tick returns the commands that are due at now.
 func (c *OrderedPromotion) Tick(now time.Time) []Command {
 	var out []Command
+	switch {
+	case len(c.vanished) == 0:
+		c.vanishedAt = time.Time{}
+	case c.vanishedAt.IsZero():
+		c.vanishedAt = now
+	}
 	if c.token == 0 && !now.Before(c.nextDraw) && (c.phase != PhaseIdle || !now.Before(c.nextIdleDraw)) {
 		c.nextDraw = now.Add(commandInterval)
 		out = append(out, Command{Action: ActionDrawToken})
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -150,14 +150,54 @@
 			t.Errorf("primary %s, want b", w.primary)
 		}
 	})
-	t.Run("the old primary does not answer", func(t *testing.T) {
+	t.Run("neither the old primary nor the replica comes back", func(t *testing.T) {
 		w, x := setup()
 		w.down["a"] = true
+		for range 300 { // 6 s of the 8 s of vanishedTimeout
+			w.advance(20 * time.Millisecond)
+			w.tickAndPerform(x)
+		}
+		if w.primary != "a" || w.highestToken != 0 {
+			t.Errorf("primary %s, token %d after 6 s, want no order", w.primary, w.highestToken)
+		}
 		runUntilIdle(t, w, x)
 		if w.primary != "b" {
 			t.Errorf("primary %s, want b", w.primary)
 		}
 	})
+	t.Run("the replica comes back and the old primary does not answer", func(t *testing.T) {
+		w, x := setup()
+		w.down["a"] = true
+		for range 200 {
+			w.advance(20 * time.Millisecond)
+			w.tickAndPerform(x)
+		}
+		w.names, w.down["c"] = []string{"a", "b", "c"}, false
+		x.promotion.SetMembers("a", 1, w.candidates())
+		runUntilIdle(t, w, x)
+		if w.primary != "c" || len(w.lost) > 0 {
+			t.Errorf("primary %s, lost %v, want c and none", w.primary, w.lost)
+		}
+	})
+	t.Run("a replica that was leaving is not waited for without the old primary", func(t *testing.T) {
+		w := newOrderedWorld(1)
+		x := w.instances[0]
+		w.commit(map[string]bool{"b": true, "c": true})
+		list := w.candidates()
+		list[2].Ineligible = true
+		x.promotion.SetMembers("a", 1, list)
+		x.promotion.Start(w.now, false, "test")
+		w.down["a"], w.down["c"] = true, true
+		w.names = []string{"a", "b"}
+		x.promotion.SetMembers("a", 1, w.candidates())
+		for range 100 { // 2 s
+			w.advance(20 * time.Millisecond)
+			w.tickAndPerform(x)
+		}
+		if w.primary != "b" {
+			t.Errorf("primary %s after 2 s, want b", w.primary)
+		}
+	})
 }
 
 // TestOrderedPromotionRaisesSlowlyWhileIdle guards against orders that the platform refuses
@@ -270,7 +310,9 @@
 				x.promotion.Start(w.now, false, "test")
 				runUntilIdle(t, w, x)
 				w.names = []string{"b", "c"}
-				x.promotion.SetMembers("b", 2, w.candidates())
+				for range 2 { // the second call finds nothing that has just disappeared
+					x.promotion.SetMembers("b", 2, w.candidates())
+				}
 				w.advance(changeCooldown)
 				x.promotion.Start(w.now, false, "test")
 				began := w.now
