node: Bounds that a deployment does not set have defaults

Cause: the template rendered each bound that the deployment lacks as a bare unit ("evacuate = ms"), which stopped the start with "not a duration". Deployments without the contract for places set no evacuation bound.

A key without a value counts as not set. A bound that is set and invalid still stops the start. The default for evacuations is a minute: watches still deliver them at once, and only a silent watch goes unnoticed for longer.

Ruled out: to switch evacuations off without a bound. An operator that evacuates a failure domain there would then have no effect at all.

--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -63,6 +63,17 @@
 // kept for files, upstreams, peers and the store.
 const reservedDescriptors = 700
 
+// Defaults of the bounds that a deployment may leave open. A key without a value counts as not
+// set, since a template renders a bound that the deployment lacks as an empty value.
+const (
+	defaultDrainTimeout = 30 * time.Second
+	defaultApplyTimeout = 5 * time.Second
+	defaultLeaveTimeout = 10 * time.Second
+	// defaultEvacuateTimeout is long, since no deployment relies on it. Watches deliver an
+	// evacuation at once; the bound only limits how long a silent watch goes unnoticed.
+	defaultEvacuateTimeout = time.Minute
+)
+
 // ReadSettings reads settings from an INI file. The error lists every invalid key, not only
 // the first. Unknown sections and keys are ignored.
 func ReadSettings(path string) (Settings, error) {
@@ -81,18 +92,20 @@
 		Store:           r.address("store", "address"),
 		Promoter:        r.address("promoter", "address"),
 		MaxCallers:      max(1, r.number("limits", "descriptors", 1000, 1<<24)-reservedDescriptors),
-		DrainTimeout:    r.duration("limits", "drain", time.Second, time.Hour),
-		ApplyTimeout:    r.duration("limits", "apply", 500*time.Millisecond, time.Hour),
-		LeaveTimeout:    r.duration("limits", "leave", 500*time.Millisecond, time.Hour),
-		EvacuateTimeout: r.duration("limits", "evacuate", 500*time.Millisecond, time.Hour),
-		OutageAllowance: r.duration("limits", "outage", 0, time.Hour),
-		BurstAllowance:  float64(r.number("limits", "spare", 0, 1<<20)),
+		DrainTimeout:    r.bound("drain", time.Second, defaultDrainTimeout),
+		ApplyTimeout:    r.bound("apply", 500*time.Millisecond, defaultApplyTimeout),
+		LeaveTimeout:    r.bound("leave", 500*time.Millisecond, defaultLeaveTimeout),
+		EvacuateTimeout: r.bound("evacuate", 500*time.Millisecond, defaultEvacuateTimeout),
+		OutageAllowance: r.bound("outage", 0, 0),
 		Regions:         make(map[string]string),
 	}
-	if file.Section("promoter").HasKey("fencing") {
+	if r.has("limits", "spare") {
+		s.BurstAllowance = float64(r.number("limits", "spare", 0, 1<<20))
+	}
+	if r.has("promoter", "fencing") {
 		s.Unfenced = !r.flag("promoter", "fencing")
 	}
-	if s.Advertise = s.Peer; file.Section("instance").HasKey("advertise") {
+	if s.Advertise = s.Peer; r.has("instance", "advertise") {
 		s.Advertise = r.address("instance", "advertise")
 	}
 	if section, err := file.GetSection("regions"); err == nil {
@@ -132,6 +145,19 @@
 	r.errors.Add(Error.New("%s: section %s, key %s: %s", r.path, section, key, why))
 }
 
+// has reports whether a key has a value.
+func (r *settingsReader) has(section, key string) bool {
+	return r.file.Section(section).Key(key).String() != ""
+}
+
+// bound returns an optional duration of the section limits, of an hour at most.
+func (r *settingsReader) bound(key string, least, fallback time.Duration) time.Duration {
+	if !r.has("limits", key) {
+		return fallback
+	}
+	return r.duration("limits", key, least, time.Hour)
+}
+
 // text returns the value of a required key.
 func (r *settingsReader) text(section, key string) string {
 	value := r.file.Section(section).Key(key).String()
