node: TestTableCopies locks the list of reported changes

The timer of a vanished entry calls onChange 2.5 s later, when the subtest has long ended, and appended to the subtest's list without a lock. The product's onChange takes its own lock.

Change: the test's onChange takes a lock. The check is unchanged.

Ruled out: a race in tables, since both accesses of both reports are in the test's closure.

--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,9 +19,14 @@
 )
 
 func newTestTables(now *time.Time) (*tables, *[]Kind) {
+	var mu sync.Mutex // a timer of a vanished entry reports its change after the test has ended
 	var changes []Kind
 	t := newTables(nil, logr.Discard(), func() time.Time { return *now })
-	t.onChange = func(k Kind) { changes = append(changes, k) }
+	t.onChange = func(k Kind) {
+		mu.Lock()
+		defer mu.Unlock()
+		changes = append(changes, k)
+	}
 	return t, &changes
 }
 
