--- a/core/call/call.go
+++ b/core/call/call.go
@@ -142,6 +142,16 @@
 	Budget time.Duration
 	// Idle is the time after which a transaction without new statements may be ended.
 	Idle time.Duration
+	// Priority is the priority of the route. 0 is the most urgent.
+	Priority int
+	// Target is the time that is left until the operation should be done, or 0 if unknown.
+	Target time.Duration
+	// Born identifies the run of the upstream, by its start in Unix milliseconds, and Since is
+	// the time for which the requesting instance has known this run. Born is 0 if unknown.
+	Born  int64
+	Since time.Duration
+	// Adaptive is set if the gateway adapts the concurrency at the upstream to its answers.
+	Adaptive bool
 }
 
 // Sample is a position that the primary's log had at a time at which the primary was
@@ -163,6 +173,12 @@
 	Load int
 	// Retry is the time after which it is worth retrying a refused statement.
 	Retry time.Duration
+	// Service is the typical time of a read at the upstream, and Failing the share of recent
+	// requests that failed there, from 0 to 1. Pace is the number of statements that the
+	// gateway allows the upstream at a time. They are 0 if the gateway does not measure them.
+	Service time.Duration
+	Failing float64
+	Pace    int
 }
 
 // Refusal returns the reply to a request that was refused and did not run.
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -57,6 +57,9 @@
 	LeaveTimeout, EvacuateTimeout time.Duration
 	// BurstAllowance is the number of requests by which a team may exceed its burst.
 	BurstAllowance float64
+	// Adaptive is set if the deployment's contracts cover the health of upstreams. Routing and
+	// the concurrency at an upstream then follow from how the upstream answers.
+	Adaptive bool
 }
 
 // reservedDescriptors is the number of file descriptors that callers may not use: they are
@@ -74,6 +77,9 @@
 	defaultEvacuateTimeout = time.Minute
 )
 
+// healthContract is the entry of the key contracts that sets Settings.Adaptive.
+const healthContract = "health"
+
 // ReadSettings reads settings from an INI file. The error lists every invalid key, not only
 // the first. Unknown sections and keys are ignored.
 func ReadSettings(path string) (Settings, error) {
@@ -99,6 +105,7 @@
 		OutageAllowance: r.bound("outage", 0, 0),
 		Regions:         make(map[string]string),
 	}
+	s.Adaptive = slices.Contains(r.list("instance", "contracts"), healthContract)
 	if r.has("limits", "spare") {
 		s.BurstAllowance = float64(r.number("limits", "spare", 0, 1<<20))
 	}
