node, platform: One close watcher a region, fewer calls at the start

An instance creates its object and uses the present one that the refusal names. The first list of failure domains that are out may be stale where no bound is set. Registry changes are collected for 250 ms in place of 100.

Ruled out: one close watcher for the fleet (a region that is cut off would have none), and long waits everywhere (nobody would notice that all watches hang).

Tests: one close watcher in each region and its successor; which first lists may be stale.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -134,7 +134,7 @@
 	n.snapshot.Store(newSnapshot(n.self))
 	n.tables = newTables(n.platform.Store, log, n.now)
 	n.tables.onChange = n.tableChanged
-	n.tables.refreshPlan = n.refreshPlan
+	n.tables.refreshPlan, n.tables.mayListStale = n.refreshPlan, n.mayListStale
 	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
 	n.limits = newLimits(n)
 	n.primaries = newPrimaries(n)
@@ -309,7 +309,7 @@
 	}
 }
 
-// writeOwnObject creates or replaces this instance's object in the store.
+// writeOwnObject creates this instance's object in the store, or replaces that of an earlier run.
 func (n *Node) writeOwnObject(ctx context.Context, leaving bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -318,11 +318,13 @@
 		return Error.Wrap(err)
 	}
 	o := Object{Name: n.settings().Name, Data: data}
-	present, err := n.platform.Store.Get(ctx, KindInstance, o.Name)
-	switch {
-	case errors.Is(err, ErrMissing):
-		_, err = n.platform.Store.Create(ctx, KindInstance, o)
-	case err == nil:
+	present, err := n.platform.Store.Create(ctx, KindInstance, o)
+	if errors.Is(err, ErrConflict) {
+		if present.Revision == 0 {
+			if present, err = n.platform.Store.Get(ctx, KindInstance, o.Name); err != nil {
+				return err
+			}
+		}
 		o.Revision = present.Revision
 		_, err = n.platform.Store.Replace(ctx, KindInstance, o)
 	}
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -80,7 +80,8 @@
 	// the object does not exist.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
 	// Create adds an object. Replace changes the object if it still has the given object's
-	// revision. Both return the object as stored, or ErrConflict if they changed nothing.
+	// revision. Both return the object as stored, or ErrConflict if they changed nothing. With
+	// ErrConflict, Create returns the present object if the store tells it.
 	Create(ctx context.Context, kind Kind, o Object) (Object, error)
 	Replace(ctx context.Context, kind Kind, o Object) (Object, error)
 	// Delete removes an object.
@@ -168,7 +169,9 @@
 	onChange func(Kind)
 	// refreshPlan returns how a table is kept up to date.
 	refreshPlan func(Kind) refresh
-	contents    *contents // recent contents of large objects
+	// mayListStale reports whether the first list of a kind may be seconds old.
+	mayListStale func(Kind) bool
+	contents     *contents // recent contents of large objects
 
 	mu              sync.Mutex
 	byKind          map[Kind]Table
@@ -195,7 +198,7 @@
 
 func newTables(s Store, log logr.Logger, now func() time.Time) *tables {
 	return &tables{
-		store: s, log: log, now: now, contents: newContents(), byKind: make(map[Kind]Table),
+		store: s, log: log, now: now, contents: newContents(), byKind: make(map[Kind]Table), mayListStale: func(Kind) bool { return false },
 		removed: make(map[Kind]removals), lost: make(map[Kind]lostObjects), vanished: make(map[string]vanished), unansweredSince: make(map[Kind]time.Time),
 	}
 }
@@ -402,6 +405,13 @@
 // refreshOnce lists the kind on its first successful call and looks for one change on each
 // later call.
 func (t *tables) refreshOnce(ctx context.Context, k Kind, listed *bool) error {
+	if !*listed && t.get(k).Revision == 0 && t.mayListStale(k) {
+		next, err := t.readList(ctx, k, t.store.ListStale)
+		if *listed = err == nil; err == nil {
+			t.install(next)
+		}
+		return err
+	}
 	if !*listed {
 		err := t.installList(ctx, k)
 		*listed = err == nil
--- a/io/node/watchers.go
+++ b/io/node/watchers.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,7 +19,7 @@
 	largeFleetWatchers = 2
 	// registryBatchDelay is the time for which a watcher of a large fleet collects changes
 	// of the registry after it has seen one.
-	registryBatchDelay = 100 * time.Millisecond
+	registryBatchDelay = 250 * time.Millisecond
 	// instanceBatchDelay is the time for which changes of instances are collected before the
 	// next watch reads them at once.
 	instanceBatchDelay = 700 * time.Millisecond
@@ -64,13 +65,35 @@
 // isWatcher reports whether this instance is a watcher of its failure domain.
 func (n *Node) isWatcher() bool { return slices.Contains(n.watchers(n.self.Domain), n.self.Address) }
 
+// watchesClosely reports whether this instance is the one in its region that repeats its watches
+// in short intervals: the first watcher of the first failure domain that has one.
+func (n *Node) watchesClosely() bool {
+	region := n.settings().Region(n.self.Domain)
+	domains := make(map[string]bool)
+	for _, i := range n.snapshot.Load().instances {
+		if n.settings().Region(i.Domain) == region {
+			domains[i.Domain] = true
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		if list := n.watchers(domain); len(list) > 0 {
+			return list[0] == n.self.Address
+		}
+	}
+	return false
+}
+
 // refreshPlan returns how the table of a kind is kept up to date. The store may drop a watch
-// without an error, so the watchers of a failure domain repeat a watch within half of the
-// time in which a change must be in force. The durations are random, so that the watches of
-// the fleet do not all end at the same time.
+// without an error. In a small fleet each watcher therefore repeats a watch within half of the
+// time in which a change must be in force. In a large one, whose watchers compare their tables by
+// pings about every half second, one watcher of each region does so, and the others wait for
+// longer. The durations are random, so that the watches of the fleet do not all end at the same
+// time.
 func (n *Node) refreshPlan(k Kind) refresh {
-	bound := map[Kind]time.Duration{KindPolicy: n.settings().ApplyTimeout, KindOutDomain: n.settings().EvacuateTimeout, KindUpstream: n.settings().LeaveTimeout}[k]
+	bound := n.changeBound(k)
 	large := len(n.snapshot.Load().instances) > smallFleetSize
+	quarter := max(bound/4, 1)
+	closely := min(quarter+rand.N(quarter), watchTimeout)
 	switch watcher := n.isWatcher(); {
 	case large && !watcher && n.storeless():
 		return refresh{pause: storelessListInterval + rand.N(storelessListInterval), listOnly: true}
@@ -80,10 +103,37 @@
 		return refresh{pause: instanceBatchDelay, wait: watchTimeout}
 	case !watcher:
 		return refresh{wait: watchTimeout}
-	case large && k == KindUpstream:
-		return refresh{pause: registryBatchDelay, wait: bound/4 + rand.N(bound/4)}
+	case !large:
+		return refresh{wait: closely}
+	}
+	r := refresh{wait: watchTimeout/2 + rand.N(watchTimeout/2)}
+	if n.watchesClosely() {
+		r.wait = closely
 	}
-	return refresh{wait: bound/4 + rand.N(bound/4)}
+	if k == KindUpstream {
+		r.pause = registryBatchDelay
+	}
+	return r
+}
+
+// changeBound returns the time within which a change of a kind must be in force, or the longest
+// bound if the deployment sets none.
+func (n *Node) changeBound(k Kind) time.Duration {
+	switch k {
+	case KindPolicy:
+		return n.settings().ApplyTimeout
+	case KindOutDomain:
+		return n.settings().EvacuateTimeout
+	case KindUpstream:
+		return n.settings().LeaveTimeout
+	}
+	return defaultEvacuateTimeout
+}
+
+// mayListStale reports whether the first list of a kind may be seconds old, because a change of
+// the kind may take longer than that to be in force.
+func (n *Node) mayListStale(k Kind) bool {
+	return k == KindOutDomain && n.changeBound(k) >= defaultEvacuateTimeout
 }
 
 // announceChange pings other instances at once after a change, if this instance is a watcher
