node: A claim in the registry is probed before it displaces a primary

Cause: an entry that names its upstream as the primary was taken for the primary unless it had the name of the former primary. A former primary that restarts behind a partition writes such an entry under a new name, or under its old one after its entry had expired, and accepts reads until it reaches its successor. Evidence at an ended term was dropped only for announced promotions on a platform without fencing.

Change: instances keep the highest term of each group, and evidence below it proves nothing. A claim makes the instance probe the upstreams of the group, by way of their gateways if it does not reach them; ProbeReply has the position for that. Reads and transactions that were answered at an ended term are aborted. A claim is taken without a probe only if nothing is known of the group and no other entry claims the role. All of this holds on platforms with fencing too.

--- /dev/null
+++ b/io/node/claims_test.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdockseam/core/call"
+	"burdockseam/core/failover"
+	"burdockseam/core/wal"
+)
+
+// fakeRoles answers probes of the upstreams that lead by their own account, with the term of
+// each. Other upstreams are replicas, and an upstream of term 0 does not answer.
+type fakeRoles struct {
+	Controls
+	leads  map[string]uint64
+	probes atomic.Int32
+}
+
+func (f *fakeRoles) IsPrimary(_ context.Context, t failover.ControlTarget) (bool, wal.Position, error) {
+	f.probes.Add(1)
+	term, ok := f.leads[t.Upstream]
+	if ok && term == 0 {
+		return false, wal.Position{}, errors.New("no answer")
+	}
+	return ok, wal.Position{Term: term, Offset: 5}, nil
+}
+
+// newClaimNode returns an instance with one group of three upstreams, of which the given ones
+// claim to be the primary, and the way to change the claims.
+func newClaimNode(t *testing.T, roles *fakeRoles, unfenced bool) (n *Node, claim func(names ...string)) {
+	t.Helper()
+	n, _ = newServingNode(t)
+	n.platform.Controls = roles
+	s := *n.settings()
+	s.Unfenced = unfenced
+	n.activeSettings.Store(&s)
+	n.tables.install(Table{Kind: KindPolicy, Revision: 1, Objects: map[string]Object{"main": {Name: "main", Revision: 1}}})
+	revision := uint64(1)
+	return n, func(names ...string) {
+		revision++
+		objects := make(map[string]Object)
+		for _, name := range []string{"u0", "u1", "u2", "reborn"} {
+			objects[name] = Object{Name: name, Revision: revision, Data: []byte("g0 d1 active")}
+		}
+		n.tables.install(Table{Kind: KindUpstream, Revision: revision, Objects: objects})
+		n.rebuild()
+		s := *n.snapshot.Load()
+		list := make([]*upstream, 0, len(objects))
+		for _, u := range s.groups["g0"] {
+			c := *u
+			for _, name := range names {
+				c.ClaimsPrimary = c.ClaimsPrimary || c.Name == name
+			}
+			list = append(list, &c)
+		}
+		s.groups = map[string][]*upstream{"g0": list}
+		n.snapshot.Store(&s)
+		n.primaries.configure(&s)
+	}
+}
+
+// expectPrimary checks an instance's view of the primary once its probes have ended.
+func expectPrimary(t *testing.T, n *Node, roles *fakeRoles, probes bool, want string) {
+	t.Helper()
+	deadline := time.Now().Add(2 * time.Second)
+	for {
+		n.primaries.mu.Lock()
+		got, locating := n.primaries.group("g0").primary, n.primaries.group("g0").locating
+		n.primaries.mu.Unlock()
+		settled := !locating && (roles.probes.Load() > 0) == probes
+		if settled && got == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("primary %q, %d probes, want %q", got, roles.probes.Load(), want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestClaimsInRegistry guards against reads at a former primary that has restarted and claims in
+// the registry to be the primary, although its successor has acknowledged commits.
+func TestClaimsInRegistry(t *testing.T) {
+	at := func(term uint64) wal.Position { return wal.Position{Term: term, Offset: 9} }
+	proven := func(upstream string, term uint64) func(n *Node) {
+		return func(n *Node) {
+			now := n.now()
+			n.primaries.recordProof("g0", upstream, now, at(term), now, false)
+		}
+	}
+	promoted := func(n *Node) { n.primaries.recordPromotion("g0", "u1") }
+	refused := func(n *Node) {
+		proven("u1", 2)(n)
+		n.primaries.recordRefusal(n.snapshot.Load().upstreams["u1"])
+	}
+	for _, test := range []struct {
+		name   string
+		before func(n *Node)
+		claims []string
+		leads  map[string]uint64
+		probes bool
+		want   string
+	}{
+		{"the only claim in a group that is not known", nil, []string{"u0"}, nil, false, "u0"},
+		{"two claims in a group that is not known", nil, []string{"u1", "reborn"}, map[string]uint64{"u1": 2, "reborn": 1}, true, "u1"},
+		{"restarted under a new name", proven("u1", 2), []string{"reborn"}, map[string]uint64{"u1": 2, "reborn": 1}, true, "u1"},
+		{"restarted under its old name", proven("u1", 2), []string{"u0"}, map[string]uint64{"u1": 2, "u0": 1}, true, "u1"},
+		{"its successor is promoted and not proven yet", promoted, []string{"reborn"}, map[string]uint64{"u1": 2, "reborn": 1}, true, "u1"},
+		{"its successor does not answer", proven("u1", 2), []string{"reborn"}, map[string]uint64{"u1": 0, "reborn": 1}, true, "u1"},
+		{"its successor has refused", refused, []string{"reborn"}, map[string]uint64{"reborn": 1}, true, ""},
+		{"the claim does not answer", proven("u1", 2), []string{"reborn"}, map[string]uint64{"reborn": 0}, true, "u1"},
+		{"the claim is a replica", proven("u1", 2), []string{"u0"}, map[string]uint64{"u1": 2}, true, "u1"},
+		{"a primary of a later term", proven("u1", 2), []string{"u2"}, map[string]uint64{"u2": 3}, true, "u2"},
+		{"the primary itself under a new name", proven("u1", 2), []string{"reborn"}, map[string]uint64{"reborn": 2}, true, "reborn"},
+		{"the primary of a later term after a refusal", refused, []string{"u2"}, map[string]uint64{"u2": 3}, true, "u2"},
+	} {
+		for _, unfenced := range []bool{false, true} {
+			t.Run(test.name+map[bool]string{false: ", fenced", true: ", unfenced"}[unfenced], func(t *testing.T) {
+				roles := &fakeRoles{leads: test.leads}
+				n, claim := newClaimNode(t, roles, unfenced)
+				n.recordContact("10.0.0.1", n.now(), Pong{Majority: true})
+				claim()
+				if test.before != nil {
+					test.before(n)
+				}
+				claim(test.claims...)
+				if test.probes {
+					time.Sleep(50 * time.Millisecond) // until the probes have been answered
+				}
+				expectPrimary(t, n, roles, test.probes, test.want)
+			})
+		}
+	}
+}
+
+// TestEvidenceOfEndedTerm guards against an upstream that is taken for the primary, and whose
+// rows reach a caller, because it accepted a statement at a term that has ended.
+func TestEvidenceOfEndedTerm(t *testing.T) {
+	n := newLargeNode(t)
+	now := n.now()
+	n.primaries.recordProof("g0", "u1", now, wal.Position{Term: 2, Offset: 1}, now, false)
+	later := now.Add(time.Second)
+	n.primaries.recordProof("g0", "u0", later, wal.Position{Term: 1, Offset: 90}, later, false)
+	if g := n.primaries.group("g0"); g.primary != "u1" {
+		t.Errorf("primary %s, want u1", g.primary)
+	}
+	n.primaries.recordProof("g0", "u2", now.Add(-time.Second), wal.Position{Term: 3}, later, false)
+	if g := n.primaries.group("g0"); g.primary != "u2" {
+		t.Errorf("primary %s after older evidence of a later term, want u2", g.primary)
+	}
+	for _, test := range []struct {
+		name string
+		open call.Open
+		term uint64
+		want call.Code
+	}{
+		{"a read at a former primary", call.OpenFence, 2, call.Aborted},
+		{"a transaction at a former primary", call.OpenWrite, 2, call.Aborted},
+		{"a read at the primary", call.OpenFence, 3, call.OK},
+		{"a statement that needs no primary", call.OpenNone, 2, call.OK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := call.Reply{Sample: &call.Sample{Position: wal.Position{Term: test.term, Offset: 9}}}
+			if got := n.primaries.rejectOutdated(call.Request{Group: "g0", Open: test.open}, r); got.Code != test.want {
+				t.Errorf("code %q, want %q", got.Code, test.want)
+			}
+		})
+	}
+}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -122,6 +122,8 @@
 	// instance's callers. Known is set if there was such a commit.
 	Commit time.Duration
 	Known  bool
+	// Position is the position of the upstream's log if it leads.
+	Position wal.Position
 }
 
 // FloorRequest requests the newest floor of a group: the newest position that its primary is
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -78,6 +78,7 @@
 	announcedAt        time.Time        // when it was first announced
 	claims             map[string]bool  // whether an upstream reports itself as the primary, by name
 	refusedEntries     map[string]Stamp // stamps of the entries of upstreams that refused to act as the primary
+	term               uint64           // highest term that the group is known to have had
 	floors             route.Floors
 	provedAt           time.Time // time of the newest evidence for the primary
 	lastCommit         time.Time // time of the newest acknowledged commit
@@ -94,6 +95,10 @@
 	lastSwitchover   time.Time // time of the last attempt at a switchover
 	missingSince     time.Time // since when no primary is known
 	locating         bool      // locatePrimary is running
+	locateAgain      bool      // locatePrimary was called while it was running
+	claimsUnknown    bool      // an upstream claims to be the primary, and its role is not known
+	claimInterval    time.Duration
+	nextClaimCheck   time.Time // earliest time of the next probe while claimsUnknown is set
 	lastNonce        uint64    // nonce of the last draw of a fencing token
 	begunAt          time.Time // start of the promotion under way
 	lastPhase        failover.Phase
@@ -230,6 +235,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	if r.Known {
+		g.term = max(g.term, r.Position.Term)
 		g.floors.Add(sent.Add(-r.Age), r.Position)
 	}
 	close(g.floorFetched)
@@ -267,18 +273,22 @@
 }
 
 // configure applies the registry. An upstream that newly reports itself as the primary is
-// taken for the primary until it refuses to act as one.
+// probed. Its claim counts by itself only in a group about which nothing else is known.
 func (ps *primaries) configure(s *snapshot) {
 	ps.mu.Lock()
 	for name := range s.policy.Groups {
 		g := ps.group(name)
 		var newest *upstream
+		claims := 0
 		present := make(map[string]bool)
 		for _, u := range s.groups[name] {
 			present[u.Name] = true
 			if was := g.claims[u.Name]; u.ClaimsPrimary && !was && u.Name != g.superseded && u.stamp.after(g.refusedEntries[u.Name]) && (newest == nil || u.stamp.after(newest.stamp)) {
 				newest = u
 			}
+			if u.ClaimsPrimary {
+				claims++
+			}
 			g.claims[u.Name] = u.ClaimsPrimary
 		}
 		for id := range g.claims {
@@ -287,11 +297,18 @@
 				delete(g.refusedEntries, id)
 			}
 		}
-		if newest != nil {
+		switch {
+		case newest == nil || newest.Name == g.primary:
+		case g.primary == "" && g.term == 0 && claims == 1:
 			ps.setPrimary(g, newest.Name, "registry")
+		default:
+			go ps.checkClaims(name)
 		}
 		if g.primary != "" && !present[g.primary] {
 			ps.setPrimary(g, "", "gone from the registry")
+			if claims > 0 {
+				go ps.checkClaims(name)
+			}
 		}
 		ps.updateCandidates(g, s)
 	}
@@ -332,9 +349,10 @@
 		return false
 	}
 	other := g.primary != upstream
-	if other && at.After(g.primarySince) {
+	if other && (p.Term > g.term || at.After(g.primarySince)) {
 		ps.setPrimary(g, upstream, "proved")
 	}
+	g.term = max(g.term, p.Term)
 	g.floors.Add(at, p)
 	if g.primary == upstream {
 		waited = takesOver(g, now) && at.After(g.promotedAt)
@@ -370,46 +388,8 @@
 		return
 	}
 	g.refusedEntries[u.Name] = u.stamp
-	next := ""
-	var newest Stamp
-	for _, o := range ps.n.snapshot.Load().groups[u.Group] {
-		if o.ClaimsPrimary && o.Name != g.superseded && o.stamp.after(g.refusedEntries[o.Name]) && o.stamp.after(newest) {
-			next, newest = o.Name, o.stamp
-		}
-	}
-	ps.setPrimary(g, next, "refused by "+u.Name)
-	if next == "" {
-		go ps.locatePrimary(u.Group)
-	}
-}
-
-// locatePrimary probes the upstreams of a group for the primary.
-func (ps *primaries) locatePrimary(name string) {
-	ps.mu.Lock()
-	g := ps.group(name)
-	if g.locating {
-		ps.mu.Unlock()
-		return
-	}
-	g.locating = true
-	ps.mu.Unlock()
-	defer func() {
-		ps.mu.Lock()
-		g.locating = false
-		ps.mu.Unlock()
-	}()
-	for _, u := range ps.n.snapshot.Load().groups[name] {
-		t := ps.controlTarget(u)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		sent := ps.n.now()
-		isPrimary, position, err := ps.n.platform.Controls.IsPrimary(ctx, t)
-		cancel()
-		if err == nil && isPrimary {
-			ps.recordProof(name, u.Name, sent, position, ps.n.now(), false)
-			ps.n.wakeStatements()
-			return
-		}
-	}
+	ps.setPrimary(g, "", "refused by "+u.Name)
+	go ps.checkClaims(u.Group)
 }
 
 // recordPromotion records that an upstream was promoted.
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -348,7 +348,7 @@
 		After: c.after, Values: op.Values, Budget: budget, Idle: n.snapshot.Load().policy.TransactionIdle,
 	}
 	n.addInFlight(c.upstream.Name, 1)
-	r := n.callGateway(ctx, c.gateway, req, op)
+	r := n.primaries.rejectOutdated(req, n.callGateway(ctx, c.gateway, req, op))
 	n.addInFlight(c.upstream.Name, -1)
 	// The commit of a read-only transaction waits for no replica.
 	commit := r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "")
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -159,10 +159,10 @@
 	}
 }
 
-// supersedes reports whether the newest promotion that was announced outdates the evidence
-// that an upstream was the primary at a position. The caller holds the lock.
+// supersedes reports whether a later term, or the newest promotion that was announced, outdates
+// the evidence that an upstream was the primary at a position. The caller holds the lock.
 func (ps *primaries) supersedes(g *group, upstream string, p wal.Position) bool {
-	return ps.n.settings().Unfenced && g.pendingPromotion.Upstream != "" &&
+	return p.Term < g.term || ps.n.settings().Unfenced && g.pendingPromotion.Upstream != "" &&
 		upstream != g.pendingPromotion.Upstream && p.Term <= g.pendingPromotion.Kept.Term
 }
 
@@ -195,7 +195,7 @@
 	if needsPrimary && !n.mayUsePrimaries() {
 		return call.Refusal(call.Unreachable, "the gateway hears from too few others")
 	}
-	reply := n.gateways.Run(ctx, r)
+	reply := n.primaries.rejectOutdated(r, n.gateways.Run(ctx, r))
 	if r.Open == call.OpenFence && reply.Code == call.OK && (n.primaries.isSuperseded(r.Group, r.Upstream) || !n.mayUsePrimaries()) {
 		return call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.Aborted, Text: "another upstream was promoted during the read"}}
 	}
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -60,6 +60,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(name)
+	ps.repeatClaimCheck(g, ps.n.now())
 	if coordinating != g.coordinating {
 		if g.coordinating = coordinating; coordinating {
 			g.promotion.StartCoordinating(ps.n.now())
@@ -120,7 +121,7 @@
 
 // promoteIfMissing starts a promotion in a group in which no upstream is the primary.
 func (ps *primaries) promoteIfMissing(g *group) {
-	ps.locatePrimary(g.name)
+	ps.locatePrimary(g.name, false)
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	if g.primary == "" {
@@ -213,11 +214,11 @@
 func (ps *primaries) answerProbe(t failover.ControlTarget) ProbeReply {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	isPrimary, _, err := ps.n.platform.Controls.IsPrimary(ctx, t)
+	isPrimary, position, err := ps.n.platform.Controls.IsPrimary(ctx, t)
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(t.Group)
-	return ProbeReply{Reached: err == nil || isUpstreamRefusal(err), Leads: isPrimary, Commit: ps.n.now().Sub(g.lastCommit), Known: !g.lastCommit.IsZero()}
+	return ProbeReply{Reached: err == nil || isUpstreamRefusal(err), Leads: isPrimary, Commit: ps.n.now().Sub(g.lastCommit), Known: !g.lastCommit.IsZero(), Position: position}
 }
 
 // isUpstreamRefusal reports whether an error is an upstream's own refusal, which shows that
