failover: A cut-off coordinator doesn't leave its survey

Cause: a coordinator concluded from its own side of a partition. It needed contact to most of the fleet only to send the order, when the target had long been chosen among an incomplete list. It forgot replicas whose entries had expired before the change began. Once a pause was sent, it carried the change through although the old primary was proven again.

Ruled out: more witnesses, which a minority cannot reach either; an endless wait for vanished replicas, which leaves a group with one upstream without a primary.

Change: without fencing, a change leaves its survey only with contact, and goes back to it when contact is lost before an order may have been sent. Replicas that vanished before the change count for vanishedTimeout since then, on all platforms, but not those that were leaving, nor the former primary. If the old primary is proven after a pause, the change surveys again and orders the old primary itself, which ends the pauses. SetMembers and HandlePrimaryConfirmed take times for this. In the tests' world without fencing, an order for the present primary ends pauses.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -18,8 +18,9 @@
 //     answers to the pauses and this instance's order.
 //   - A replica that disappears from the list of upstreams may also be the only replica
 //     that holds a commit, and comes back with its log if it has crashed. So a failover
-//     orders nothing for vanishedTimeout. It does not wait for a replica that was leaving,
-//     unless the old primary, which holds all commits, is seen to work.
+//     orders nothing for vanishedTimeout, also if the replica disappeared before the change
+//     began. It does not wait for a replica that was leaving, unless it disappeared during the
+//     change and the old primary, which holds all commits, is seen to work.
 //   - After a promotion, the new primary may be the only upstream that is left with commits
 //     which were acknowledged before. No replica is paused while none of them has the position
 //     that the promotion kept and the primary is seen to work, and for vanishedTimeout if it is
@@ -29,7 +30,8 @@
 //   - A paused replica is never told to resume, since another instance may have paused it
 //     for its own choice of a target. Only a promotion lets the replica receive again, so
 //     a change that has paused a replica is carried through, even if the old primary is
-//     back. To make that rare, all replicas must be reached before the first is paused.
+//     back. To make that rare, all replicas must be reached before the first is paused. A
+//     recorded promotion then orders the old primary itself (recorded.go).
 //
 // An OrderedPromotion is used by one goroutine at a time. It has no clock: results and
 // Tick carry the time.
@@ -112,9 +114,11 @@
 	primary             string
 	term                uint64 // highest term seen
 	candidates          []*candidateState
-	vanished            []Candidate // upstreams whose entries disappeared during the change
-	vanishedAt          time.Time   // when the first of them was noticed; zero if there is none
-	primarySeen         time.Time   // when the old primary was last seen to work as primary
+	vanished            []vanishedCandidate // upstreams whose entries disappeared a short time ago
+	lastPrimary         string              // last known primary, or ""
+	former              string              // primary before lastPrimary, or ""
+	formerSince         time.Time           // when it was replaced
+	primarySeen         time.Time           // when the old primary was last seen to work as primary
 	phase               Phase
 	since               time.Time // start of the phase
 	nextCommand         time.Time // earliest time of the phase's next command
@@ -144,6 +148,10 @@
 	unfinishedSince time.Time // when that order became known, or was last sent by this instance
 	answered        uint64    // token of this instance's last order that was answered
 	unansweredAt    time.Time // time of this instance's last order without an answer
+	noContact       bool      // this instance hears from too few others
+	pausing         bool      // the change has sent a pause
+	primaryBack     bool      // the old primary was proven after a pause was sent
+	ordersSent      int       // orders of the change that may have been sent
 	undemoted       string    // former primary that was not reached before its successor was ordered
 	nextDemote      time.Time // earliest time of the next attempt to demote it
 }
@@ -180,34 +188,6 @@
 // HasToken reports whether a fencing token is at hand.
 func (c *OrderedPromotion) HasToken() bool { return c.token > 0 }
 
-// SetMembers sets the group's upstreams and the highest term seen. The answers of upstreams
-// that stay in the group are kept. The primary is replaced only while no change is under
-// way.
-func (c *OrderedPromotion) SetMembers(primary string, term uint64, list []Candidate) {
-	c.term = max(c.term, term)
-	if c.phase == PhaseIdle {
-		c.primary = primary
-		c.vanished = nil
-	}
-	for _, r := range c.replicas() {
-		if !slices.ContainsFunc(list, func(m Candidate) bool { return m.Upstream == r.Upstream }) {
-			c.vanished = append(c.vanished, r.Candidate)
-		}
-	}
-	candidates := make([]*candidateState, 0, len(list))
-	for _, m := range list {
-		r := &candidateState{}
-		if i := slices.IndexFunc(c.candidates, func(o *candidateState) bool { return o.Upstream == m.Upstream }); i >= 0 {
-			r = c.candidates[i]
-		}
-		r.Candidate = m
-		candidates = append(candidates, r)
-	}
-	c.candidates = candidates
-	// An upstream that is listed again can be asked itself.
-	c.vanished = slices.DeleteFunc(c.vanished, func(m Candidate) bool { return c.findCandidate(m.Upstream) != nil })
-}
-
 // Start begins a change of the primary, which is a switchover if planned is set and a failover
 // otherwise, and reports whether it did. It does not begin while a change is under way or
 // within changeCooldown after the last change, in a group without a replica, or for a
@@ -220,6 +200,10 @@
 		return false // the unanswered order would undo this change
 	}
 	c.planned, c.reason, c.target, c.orderRefused = planned, reason, "", false
+	c.pausing, c.primaryBack, c.ordersSent = false, false, 0
+	for i := range c.vanished {
+		c.vanished[i].before = true
+	}
 	c.nextRaise = now
 	c.enterPhase(now, PhaseSurvey)
 	return true
@@ -249,30 +233,23 @@
 	}
 }
 
-// mustWaitForVanished reports whether nothing may be ordered yet, because a replica has
-// vanished that may be the only one that holds a commit. A replica that was leaving does not
-// come back, but a working old primary holds what it held. A switchover does not wait: new work
-// at the old primary has ended before the pauses, and the old primary must be left in time.
-func (c *OrderedPromotion) mustWaitForVanished(now time.Time) bool {
-	if len(c.vanished) == 0 {
-		return false
-	}
-	mayReturn := slices.ContainsFunc(c.vanished, func(m Candidate) bool { return !m.Ineligible })
-	return !c.planned && now.Sub(c.vanishedAt) < vanishedTimeout && (mayReturn || now.Sub(c.primarySeen) < primarySeenValidity)
-}
-
-// HandlePrimaryConfirmed records that an upstream was proven to be the primary, or was
+// HandlePrimaryConfirmed records that an upstream was proven to be the primary at a time, or was
 // promoted by another instance. A change in PhaseSurvey, which has paused no replica yet, is
 // given up, unless it is a switchover away from that upstream. In PhasePause and PhaseList,
-// the replicas are paused again if the primary is another one than before.
-func (c *OrderedPromotion) HandlePrimaryConfirmed(now time.Time, primary string) {
+// the replicas are paused again if the primary is another one than before, and the change may
+// be reconsidered if it is the same.
+func (c *OrderedPromotion) HandlePrimaryConfirmed(now, at time.Time, primary string) {
 	switch {
 	case c.phase == PhaseSurvey && (!c.planned || primary != c.primary):
-		c.primary = primary
-		c.enterPhase(now, PhaseIdle)
+		c.setPrimary(now, primary)
+		if c.primaryBack = c.pausing; !c.pausing {
+			c.enterPhase(now, PhaseIdle)
+		}
+	case (c.phase == PhasePause || c.phase == PhaseList) && primary == c.primary:
+		c.reconsider(now, at)
 	case (c.phase == PhasePause || c.phase == PhaseList) && primary != c.primary:
 		// The promotion of this upstream has ended the pauses.
-		c.primary = primary
+		c.setPrimary(now, primary)
 		c.enterPhase(now, PhasePause)
 	}
 }
@@ -287,7 +264,7 @@
 // well.
 func (c *OrderedPromotion) StopCoordinating(now time.Time) []Command {
 	switch {
-	case c.phase == PhaseSurvey:
+	case c.phase == PhaseSurvey && !c.pausing:
 		c.enterPhase(now, PhaseIdle)
 	case c.phase == PhasePause && c.orderRefused:
 		c.enterPhase(now, PhaseIdle)
@@ -299,12 +276,7 @@
 // Tick returns the commands that are due at now.
 func (c *OrderedPromotion) Tick(now time.Time) []Command {
 	var out []Command
-	switch {
-	case len(c.vanished) == 0:
-		c.vanishedAt = time.Time{}
-	case c.vanishedAt.IsZero():
-		c.vanishedAt = now
-	}
+	out = append(out, c.checkContact(now)...)
 	if c.token == 0 && !now.Before(c.nextDraw) && (c.phase != PhaseIdle || !now.Before(c.nextIdleDraw)) {
 		c.nextDraw = now.Add(commandInterval)
 		out = append(out, Command{Action: ActionDrawToken})
@@ -364,12 +336,16 @@
 	}
 	switch {
 	case allReached && c.mustWaitForKept(now, lacking):
+	case allReached && (c.noContact || c.mustWaitForVanished(now)):
+	case allReached && c.clear(now) && c.mayKeepPrimary(now):
+		c.target, c.keptPosition = c.primary, wal.Position{}
+		c.enterPhase(now, PhaseOrder)
 	case allReached && c.clear(now) && c.planned:
 		c.heldUpstream = c.primary
 		c.enterPhase(now, PhaseHold)
 	case allReached && c.clear(now):
 		c.enterPhase(now, PhasePause)
-	case c.planned && now.Sub(c.since) >= pauseValidity:
+	case c.planned && !c.pausing && now.Sub(c.since) >= pauseValidity:
 		c.enterPhase(now, PhaseIdle)
 	}
 	return out
@@ -408,7 +384,7 @@
 	case err != nil:
 		r.nextCommand = now.Add(retryInterval)
 	case isPrimary:
-		c.HandlePrimaryConfirmed(now, upstream)
+		c.HandlePrimaryConfirmed(now, sent, upstream)
 	default:
 		r.surveyedAt, r.position = sent, position
 	}
@@ -443,6 +419,7 @@
 		allPaused = false
 		if !now.Before(r.nextCommand) {
 			r.nextCommand = now.Add(commandInterval)
+			c.pausing = true
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
 	}
@@ -468,6 +445,7 @@
 		return nil
 	}
 	c.nextCommand = now.Add(commandInterval)
+	c.ordersSent++
 	return []Command{{Action: ActionOrderPromotion, Upstream: c.target, Token: c.token}}
 }
 
@@ -542,7 +520,7 @@
 	if s.Primary {
 		// Another instance has promoted this upstream, which has ended the pauses. The
 		// replicas are paused again: some may still be paused, and only a promotion ends that.
-		c.primary = upstream
+		c.setPrimary(now, upstream)
 		c.enterPhase(now, PhasePause)
 		return
 	}
@@ -613,6 +591,8 @@
 		return "", nil
 	}
 	switch r {
+	case ResponseUnsent:
+		c.ordersSent--
 	case ResponseUnknown:
 		c.nextCommand = now.Add(retryInterval)
 		if c.recorded {
@@ -620,12 +600,14 @@
 		}
 	case ResponseRefused:
 		c.answered = cmd.Token
+		c.ordersSent--
 		// A refused token is never used again. The replicas are paused again, since the chosen
 		// replica may have stopped, or another instance may have promoted a replica.
 		c.token, c.nextDraw, c.orderRefused = 0, now, true
 		c.enterPhase(now, PhasePause)
 	case ResponseDone:
-		c.answered, c.primary, c.finishedAt = cmd.Token, c.target, now
+		c.answered, c.finishedAt = cmd.Token, now
+		c.setPrimary(now, c.target)
 		c.HandleKept(c.keptPosition)
 		return c.target, c.finishChange(now)
 	}
--- a/core/failover/ordered_test.go
+++ b/core/failover/ordered_test.go
@@ -26,7 +26,7 @@
 		for range steps {
 			w.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			x := w.instances[rapid.IntRange(0, len(w.instances)-1).Draw(t, "instance")]
-			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "drive", "start", "down", "late order", "members", "newer token"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"commit", "tick", "tick", "perform", "perform", "perform", "drive", "start", "down", "late order", "members", "newer token", "proof", "contact"}).Draw(t, "action") {
 			case "commit":
 				w.commit(map[string]bool{"a": rapid.Bool().Draw(t, "a"), "b": rapid.Bool().Draw(t, "b"), "c": rapid.Bool().Draw(t, "c")})
 			case "tick":
@@ -59,10 +59,17 @@
 					}
 					w.lateOrders, w.lateSince = w.lateOrders[1:], w.lateSince[1:]
 				}
+			case "contact":
+				x.promotion.SetContact(!w.unfenced || rapid.Bool().Draw(t, "contact"))
+			case "proof":
+				if w.primary != "" && !w.down[w.primary] {
+					x.promotion.HandlePrimarySeen(w.now, w.primary)
+					x.promotion.HandlePrimaryConfirmed(w.now, w.now, w.primary)
+				}
 			case "newer token":
 				x.promotion.HandleNewerToken(w.now, w.drawn)
 			case "members":
-				x.promotion.SetMembers(w.primary, w.term, w.candidates())
+				x.promotion.SetMembers(w.now, w.primary, w.term, w.candidates())
 			}
 			if len(w.lost) > 0 {
 				t.Fatalf("acknowledged commits %v were lost by a promotion", w.lost)
@@ -118,7 +125,7 @@
 			w.tickAndPerform(x)
 		}
 		w.names = []string{"a", "b"}
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 		return w, x
 	}
 	t.Run("the old primary leads", func(t *testing.T) {
@@ -133,7 +140,7 @@
 		}
 		// The replica is back with the log of the old primary.
 		w.names, w.down["c"], w.logs["c"] = []string{"a", "b", "c"}, false, slices.Clone(w.logs["a"])
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 		runUntilIdle(t, w, x)
 		if w.primary != "c" || len(w.lost) > 0 {
 			t.Errorf("primary %s, lost %v, want c and none", w.primary, w.lost)
@@ -173,7 +180,7 @@
 			w.tickAndPerform(x)
 		}
 		w.names, w.down["c"] = []string{"a", "b", "c"}, false
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 		runUntilIdle(t, w, x)
 		if w.primary != "c" || len(w.lost) > 0 {
 			t.Errorf("primary %s, lost %v, want c and none", w.primary, w.lost)
@@ -185,11 +192,11 @@
 		w.commit(map[string]bool{"b": true, "c": true})
 		list := w.candidates()
 		list[2].Ineligible = true
-		x.promotion.SetMembers("a", 1, list)
+		x.promotion.SetMembers(w.now, "a", 1, list)
 		x.promotion.Start(w.now, false, "test")
 		w.down["a"], w.down["c"] = true, true
 		w.names = []string{"a", "b"}
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 		for range 100 { // 2 s
 			w.advance(20 * time.Millisecond)
 			w.tickAndPerform(x)
@@ -311,7 +318,7 @@
 				runUntilIdle(t, w, x)
 				w.names = []string{"b", "c"}
 				for range 2 { // the second call finds nothing that has just disappeared
-					x.promotion.SetMembers("b", 2, w.candidates())
+					x.promotion.SetMembers(w.now, "b", 2, w.candidates())
 				}
 				w.advance(changeCooldown)
 				x.promotion.Start(w.now, false, "test")
@@ -334,7 +341,7 @@
 		x := w.instances[0]
 		x.promotion.Start(w.now, false, "test")
 		w.enqueue(x, x.promotion.Tick(w.now))
-		x.promotion.HandlePrimaryConfirmed(w.now, "a")
+		x.promotion.HandlePrimaryConfirmed(w.now, w.now, "a")
 		if x.promotion.Phase() != PhaseIdle {
 			t.Errorf("phase %s, want idle", x.promotion.Phase())
 		}
@@ -383,7 +390,7 @@
 		w.commit(all)
 		w.down["a"] = true
 		late, other := w.instances[0], w.instances[1]
-		late.promotion.SetMembers("a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
+		late.promotion.SetMembers(w.now, "a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
 		late.promotion.Start(w.now, false, "test")
 		var draws []Command
 		for range 10 {
@@ -416,7 +423,7 @@
 		w.commit(all)
 		w.down["a"] = true
 		late, other := w.instances[0], w.instances[1]
-		late.promotion.SetMembers("a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
+		late.promotion.SetMembers(w.now, "a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
 		other.promotion.Start(w.now, false, "test")
 		runUntilIdle(t, w, other) // accepted, without effect yet
 		late.promotion.Start(w.now, false, "test")
@@ -442,7 +449,7 @@
 		}
 		w.enqueue(other, other.promotion.Tick(w.now))
 		w.performCommand(other, 0, false) // sent without an answer, carried out later
-		late.promotion.SetMembers("a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
+		late.promotion.SetMembers(w.now, "a", 1, []Candidate{{Upstream: "a"}, {Upstream: "b", Distance: 1}, {Upstream: "c"}})
 		late.promotion.Start(w.now, false, "test")
 		for late.promotion.Phase() != PhaseOrder {
 			w.advance(20 * time.Millisecond)
@@ -495,7 +502,7 @@
 		// The store may have handled the draw after a draw of another instance, whose order is
 		// accepted then.
 		x := NewOrderedPromotion(1)
-		x.SetMembers("a", 1, newOrderedWorld(1).candidates())
+		x.SetMembers(epoch, "a", 1, newOrderedWorld(1).candidates())
 		x.HandleToken(epoch, 3, 2)
 		if list := x.Tick(epoch); len(list) != 1 || list[0].Action != ActionRaiseToken {
 			t.Errorf("%v, want a raise", list)
@@ -505,7 +512,7 @@
 		w := newOrderedWorld(1)
 		x := w.instances[0]
 		x.promotion.Start(w.now, false, "test")
-		x.promotion.HandlePrimaryConfirmed(w.now, "b")
+		x.promotion.HandlePrimaryConfirmed(w.now, w.now, "b")
 		if x.promotion.Phase() != PhaseIdle {
 			t.Errorf("phase %s, want idle", x.promotion.Phase())
 		}
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -50,7 +50,7 @@
 	w.unfenced, w.goesOn, w.unreachable = true, make(map[string]bool), make(map[string]bool)
 	for k, x := range w.instances {
 		x.promotion = NewRecordedPromotion(uint64(k))
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 	}
 	return w
 }
@@ -86,7 +86,7 @@
 	}
 	for range instances {
 		x := &orderingInstance{promotion: NewOrderedPromotion(uint64(len(w.instances)))}
-		x.promotion.SetMembers("a", 1, w.candidates())
+		x.promotion.SetMembers(w.now, "a", 1, w.candidates())
 		w.instances = append(w.instances, x)
 	}
 	return w
@@ -140,9 +140,13 @@
 }
 
 // makePrimary makes an upstream the primary with what it has received, and records the
-// acknowledged commits that it lacks as lost.
+// acknowledged commits that it lacks as lost. Without fencing, the promotion of the present primary
+// ends pauses, too.
 func (w *orderedWorld) makePrimary(upstream string) {
 	if upstream == w.primary {
+		if w.unfenced {
+			w.paused = make(map[string]bool)
+		}
 		return
 	}
 	if w.unfenced && w.primary != "" {
--- a/core/failover/recorded.go
+++ b/core/failover/recorded.go
@@ -14,6 +14,14 @@
 //   - An instance that was told so takes no statement as evidence for the old primary, and
 //     sends nothing to it that only a primary may run.
 //
+//   - A change goes beyond its survey only while this instance has contact to most of the
+//     fleet, and goes back to the survey if contact is lost before an order may have been sent.
+//     An instance that is cut off together with a part of the group sees a healthy primary as
+//     lost, and its list of upstreams is incomplete.
+//   - If the old primary is proven after a pause was sent and no order was, the change goes
+//     back to the survey and orders the promotion of the old primary itself. That drops no commit
+//     and ends the pauses.
+//
 // Nothing is ordered while the store does not answer.
 
 import (
@@ -148,3 +156,51 @@
 	}
 	c.enterPhase(now, PhaseOrder)
 }
+
+// SetContact sets whether this instance has contact to most of the fleet.
+func (c *OrderedPromotion) SetContact(contact bool) { c.noContact = !contact }
+
+// mayReconsider reports whether the change has ordered nothing that may still take effect.
+func (c *OrderedPromotion) mayReconsider(now time.Time) bool {
+	return c.recorded && c.ordersSent == 0 && (!c.mayRevive(now) || c.unfinished == c.primary)
+}
+
+// checkContact takes a change back to its survey if contact is lost. It returns the command that
+// releases the held work of a switchover.
+func (c *OrderedPromotion) checkContact(now time.Time) []Command {
+	if !c.noContact || !c.recorded || c.ordersSent > 0 {
+		return nil
+	}
+	switch c.phase {
+	case PhaseHold, PhasePause, PhaseList, PhaseDemote, PhaseOrder:
+		c.primaryBack = false
+		c.enterPhase(now, PhaseSurvey)
+		return c.releaseHeld()
+	}
+	return nil
+}
+
+// Pauses reports whether the change pauses replicas or has paused them, and chooses no target yet.
+func (c *OrderedPromotion) Pauses() bool {
+	return c.phase == PhasePause || c.phase == PhaseList || c.phase == PhaseSurvey && c.pausing
+}
+
+// reconsider takes a change whose old primary is proven again, at a time since the phase began,
+// back to its survey. A change that has paused nothing ends.
+func (c *OrderedPromotion) reconsider(now, at time.Time) {
+	switch {
+	case at.Before(c.since) || c.planned || !c.mayReconsider(now):
+	case c.pausing:
+		c.primaryBack = true
+		c.enterPhase(now, PhaseSurvey)
+	default:
+		c.enterPhase(now, PhaseIdle)
+	}
+}
+
+// mayKeepPrimary reports whether the change orders the promotion of the old primary, which was
+// proven after replicas were paused. No replica leads: all have answered the survey, and no older
+// order can take effect.
+func (c *OrderedPromotion) mayKeepPrimary(now time.Time) bool {
+	return c.primaryBack && c.primary != "" && now.Sub(c.primarySeen) < primarySeenValidity && c.mayReconsider(now)
+}
--- a/core/failover/recorded_test.go
+++ b/core/failover/recorded_test.go
@@ -34,7 +34,7 @@
 	}
 	list := w.candidates()
 	list[1].Distance = 1
-	second.promotion.SetMembers("a", 1, list)
+	second.promotion.SetMembers(w.now, "a", 1, list)
 	second.promotion.Start(w.now, false, "test")
 	return w, second
 }
--- a/io/node/claims_test.go
+++ b/io/node/claims_test.go
@@ -18,6 +18,13 @@
 	Controls
 	leads  map[string]uint64
 	probes atomic.Int32
+	pauses atomic.Int32
+}
+
+// Pause makes an upstream a paused replica.
+func (f *fakeRoles) Pause(context.Context, failover.ControlTarget, uint64) (failover.ReplicationStatus, error) {
+	f.pauses.Add(1)
+	return failover.ReplicationStatus{Term: 2, Received: wal.Position{Term: 2, Offset: 5}}, nil
 }
 
 func (f *fakeRoles) IsPrimary(_ context.Context, t failover.ControlTarget) (bool, wal.Position, error) {
@@ -171,3 +178,50 @@
 		})
 	}
 }
+
+// TestCutOffCoordinatorPausesNothing guards against a coordinator that pauses the replicas of a
+// healthy primary because it is cut off from both, on a platform where no fence stops its order.
+func TestCutOffCoordinatorPausesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name              string
+		unfenced, contact bool
+		pauses            bool
+	}{
+		{"without fencing, cut off", true, false, false},
+		{"without fencing", true, true, true},
+		{"with fencing", false, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			roles := &fakeRoles{leads: map[string]uint64{"u0": 0}}
+			n, claim := newClaimNode(t, roles, test.unfenced)
+			fleet := Table{Kind: KindInstance, Revision: 1, Objects: map[string]Object{"b": {Name: "b", Revision: 1, Data: []byte(`{"id":"b","address":"10.9.9.9","domain":"d1"}`)}}}
+			n.tables.install(fleet)
+			n.ready.Store(true)
+			claim("u0")
+			n.recordNoAnswer("10.9.9.9", errors.New("no answer"))
+			n.recordNoAnswer("10.9.9.9", errors.New("no answer"))
+			ps := n.primaries
+			ps.mu.Lock()
+			g := ps.group("g0")
+			ps.setPrimary(g, "u0", "test")
+			g.probing = true // no probe of the primary
+			if test.unfenced {
+				g.promotion.HandleRecordedToken(n.now(), 5, "", 0)
+			} else {
+				g.promotion.HandleToken(n.now(), 5, 0)
+			}
+			ps.startPromotion(g, false, "test")
+			ps.mu.Unlock()
+			for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end) && roles.pauses.Load() == 0; {
+				if test.contact {
+					n.recordContact("10.0.0.1", n.now(), Pong{Majority: true})
+				}
+				ps.stepGroup(t.Context(), "g0")
+				time.Sleep(5 * time.Millisecond)
+			}
+			if got := roles.pauses.Load() > 0; got != test.pauses {
+				t.Errorf("replicas are paused: %v, want %v", got, test.pauses)
+			}
+		})
+	}
+}
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -328,7 +328,7 @@
 	if last, _, ok := g.floors.Last(); ok {
 		term = last.Term
 	}
-	g.promotion.SetMembers(g.primary, term, list)
+	g.promotion.SetMembers(ps.n.now(), g.primary, term, list)
 }
 
 // recordProof records that an upstream was the primary at the given time or later. Commit
@@ -367,8 +367,8 @@
 		// A primary that reaches no replica still accepts transactions, although its commits
 		// get no answer. Only an acknowledged commit shows that a promotion because of
 		// stalled commits is not needed.
-		if g.coordinating && (commit || other || g.promotion.Reason() != reasonStalled) {
-			g.promotion.HandlePrimaryConfirmed(now, upstream)
+		if (g.coordinating || g.promotion.Pauses()) && (commit || other || g.promotion.Reason() != reasonStalled) {
+			g.promotion.HandlePrimaryConfirmed(now, at, upstream)
 		}
 	}
 	return waited
@@ -402,7 +402,7 @@
 	if g.pendingPromotion.Upstream == upstream {
 		g.promotion.HandleKept(g.pendingPromotion.Kept)
 	}
-	g.promotion.HandlePrimaryConfirmed(g.promotedAt, upstream)
+	g.promotion.HandlePrimaryConfirmed(g.promotedAt, g.promotedAt, upstream)
 	delete(g.refusedEntries, upstream)
 	ps.mu.Unlock()
 	ps.n.wakeStatements()
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -77,6 +77,7 @@
 	}
 	now := ps.n.now()
 	ps.updateCandidates(g, s)
+	g.promotion.SetContact(!ps.n.settings().Unfenced || ps.n.hadContact(contactTimeout))
 	switch g.promotion.Phase() {
 	case failover.PhaseIdle:
 		ps.checkPrimary(ctx, g, s, now)
