queue: Requests are ordered by priority and target, and refused on arrival by their wait

Cause: under overload the most urgent requests were served like the least urgent ones, and requests waited for long before they were refused untried. With one connection for each team, a team without a connection waited for as long as others kept all slots busy.

Change: within a team, requests are served by priority, target and arrival. Of teams with credit the more urgent head goes first, and a team may overdraw its credit by a second of its share for it. Each waiting priority gets a tenth of its team's slot time. The wait is estimated from the work ahead and the service times by team and priority; a request that would miss its deadline is refused on arrival, or after a quarter of its target, with the wait as the retry hint. A full queue displaces the least urgent request of the heaviest team. With TeamBound, the opening of a connection takes a slot in the team's turn and is charged to the team. SetSlots changes the number of slots.

Tests: go test ./core/queue ./io/instance. expectDecisions leaves out the retry hint, which is new and not known to the millisecond; TestRetryHint checks it. TestModel and TestDeficitBound draw priorities, the latter with the overdraft added to the bound if there are several. TestFairness passes unchanged.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -3,14 +3,15 @@
 // credit falls by the slot time of its statements and, at a lower price, by the time
 // that its transactions hold an idle connection. Running statements are charged as time
 // passes, so that slow statements cost what they use. A team without work keeps its debt
-// but loses its credit.
+// but loses its credit. Within a team, requests are served by priority and by the time at
+// which they should be done (order.go). A request that cannot be served by its deadline is
+// refused on arrival (wait.go).
 //
 // The package does no input or output: a caller passes in events with their times and
 // carries out the returned decisions.
 package queue
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -88,6 +89,11 @@
 	Inside bool
 	// Deadline is the time by which the answer is wanted; zero means no deadline.
 	Deadline time.Time
+	// Priority is the urgency of the request; 0 is the most urgent.
+	Priority int
+	// Target is the time from the arrival at the queue until the operation should be done;
+	// 0 is unknown.
+	Target time.Duration
 }
 
 // Kind is the kind of a decision.
@@ -126,6 +132,8 @@
 	Reason     Reason
 	// Team is the team that a connection to open is bound to, if Options.TeamBound is set.
 	Team string
+	// Retry is the estimated time by which the requests ahead of a refused one are served.
+	Retry time.Duration
 }
 
 // Queue holds the waiting requests of one upstream at its gateway. It is not safe
@@ -153,6 +161,15 @@
 	paused    bool
 	closed    bool
 	decisions []Decision
+
+	held     int                     // connections held by transactions
+	services [numPriorities]estimate // service time of a request by priority, over all teams
+	openTime estimate                // time to open a connection
+	usage    usage                   // slot time used by priority
+	// elapsed and expected are the sums of the time that the running statements have taken
+	// so far and that they were expected to take, in nanoseconds.
+	elapsed, expected float64
+	ready             []candidate // reused by pickNext
 }
 
 // team is the scheduling state of one team.
@@ -160,11 +177,19 @@
 	name   string
 	weight float64
 	credit time.Duration // slot time that the team may use; negative if it owes some
-	// waiting holds the waiting requests by class, each in arrival order.
-	waiting   [numClasses][]*item
+	// waiting holds the waiting requests by class. Statements of open transactions are in
+	// arrival order, the others in the order in which the team is served.
+	waiting [numClasses][]*item
+	count   int                // waiting requests
+	counts  [numPriorities]int // waiting requests by priority
+	// owed is the slot time that each priority is owed while it waits, see order.go.
+	owed      [numPriorities]time.Duration
+	idle      int // idle connections bound to the team
+	opening   int // connections being opened for the team
 	running   int
-	heldConns int      // connections held by transactions
-	service   estimate // service time of a request
+	heldConns int                     // connections held by transactions
+	services  [numPriorities]estimate // service time of a request by priority
+	usage     usage                   // slot time used by priority
 }
 
 // Classes of waiting requests: statements of open transactions, single statements, and
@@ -179,25 +204,31 @@
 // item is a request that waits or runs.
 type item struct {
 	Request
-	team    *team
-	class   int
-	order   uint64        // order of arrival over all teams
-	conn    *conn         // nil while the request waits outside a transaction
-	started time.Time     // zero while the request waits
-	charged time.Duration // slot time already charged to the team
+	team      *team
+	class     int
+	priority  int           // Request.Priority, limited to the priorities that are distinguished
+	due       time.Time     // when the operation should be done
+	holdUntil time.Time     // when to check again that the deadline can be met; zero if checked or not needed
+	order     uint64        // order of arrival over all teams
+	conn      *conn         // nil while the request waits outside a transaction
+	started   time.Time     // zero while the request waits
+	charged   time.Duration // slot time already charged to the team
+	expected  time.Duration // slot time that was expected at the start
 }
 
 // conn is a connection to the upstream that is open or being opened.
 type conn struct {
 	id           uint64
 	opening      bool
-	boundTeam    *team     // the team that the connection is bound to; nil unless Options.TeamBound is set
-	lastSession  uint64    // session of the last statement
-	team         *team     // team of the open transaction; nil if none
-	session      uint64    // session of the open transaction; 0 if none
-	running      *item     // the request that runs on the connection; nil if none
-	chargedUntil time.Time // the idle time of the open transaction is charged up to this time
-	idleSince    time.Time // start of the idle time, in or outside a transaction
+	openedAt     time.Time     // start of the attempt to open it
+	charged      time.Duration // slot time charged to the team for opening it
+	boundTeam    *team         // the team that the connection is bound to; nil unless Options.TeamBound is set
+	lastSession  uint64        // session of the last statement
+	team         *team         // team of the open transaction; nil if none
+	session      uint64        // session of the open transaction; 0 if none
+	running      *item         // the request that runs on the connection; nil if none
+	chargedUntil time.Time     // the idle time of the open transaction is charged up to this time
+	idleSince    time.Time     // start of the idle time, in or outside a transaction
 }
 
 // New returns a queue without connections.
@@ -256,7 +287,7 @@
 	for _, t := range q.teams {
 		for class := classSingle; class < numClasses; class++ {
 			for len(t.waiting[class]) > 0 {
-				q.refuseRequest(t.waiting[class][0], ReasonClosed)
+				q.refuseRequest(now, t.waiting[class][0], ReasonClosed)
 			}
 		}
 	}
@@ -268,89 +299,38 @@
 	t := q.team(r.Team)
 	q.arrivals++
 	i := &item{Request: r, team: t, class: classSingle, order: q.arrivals}
+	i.setUrgency(now)
 	if c := q.sessions[r.Session]; c != nil && r.Session != 0 {
 		i.class, i.conn = classInTransaction, c
 	} else if r.Begin {
 		i.class = classBegin
 	}
 	q.items[r.ID] = i
-	t.waiting[i.class] = append(t.waiting[i.class], i)
-	q.queued++
+	q.insertWaiting(i)
 	q.chargeElapsed(now)
 	switch {
 	case r.Inside && i.class != classInTransaction:
-		q.refuseRequest(i, ReasonTransaction)
+		q.refuseRequest(now, i, ReasonTransaction)
 	case q.closed && i.class != classInTransaction:
-		q.refuseRequest(i, ReasonClosed)
+		q.refuseRequest(now, i, ReasonClosed)
 	case q.missesDeadline(now, i):
-		q.refuseRequest(i, ReasonDeadline)
-	case q.opts.Policy == Fair && t.queued() > q.opts.TeamLimit:
-		q.refuseRequest(i, ReasonTeamFull)
+		q.refuseRequest(now, i, ReasonDeadline)
+	case q.opts.Policy == Fair && t.count > q.opts.TeamLimit:
+		q.refuseRequest(now, q.leastUrgent(now, t, i), ReasonTeamFull)
 	case q.queued > q.opts.Limit:
-		q.shedNewest(i)
+		q.shedRequest(now, i)
 	}
 	return q.schedule(now)
 }
 
-// missesDeadline reports whether the new request i cannot finish by its deadline, as
-// estimated from the recent service times and from its team's current share of the
-// slots.
-func (q *Queue) missesDeadline(now time.Time, i *item) bool {
-	if i.Deadline.IsZero() {
-		return false
-	}
-	service := i.team.service.at(now)
-	var ahead time.Duration
-	if i.team.queued() > 1 || q.running >= q.opts.Slots {
-		active, all := 0.0, time.Duration(0)
-		for _, t := range q.teams {
-			if n := t.queued(); n > 0 {
-				active += t.weight
-				all += time.Duration(n) * t.service.at(now)
-			}
-		}
-		own := time.Duration(i.team.queued()-1) * service
-		ahead = min(time.Duration(float64(own)*active/i.team.weight), all-service) / time.Duration(q.opts.Slots)
-		if q.opts.Policy == FIFO {
-			ahead = (all - service) / time.Duration(q.opts.Slots)
-		}
-	}
-	return now.Add(max(0, ahead) + service).After(i.Deadline)
-}
-
-// shedNewest refuses a request because the queue is full. By FIFO this is the new
-// request i. Otherwise the team with the most waiting requests per weight loses its
-// newest request outside transactions.
-func (q *Queue) shedNewest(i *item) {
-	if q.opts.Policy == FIFO {
-		q.refuseRequest(i, ReasonFull)
-		return
-	}
-	var heaviest *team
-	most := 0.0
-	for _, t := range q.teams {
-		n := len(t.waiting[classSingle]) + len(t.waiting[classBegin])
-		if load := float64(n) / t.weight; n > 0 && load > most {
-			heaviest, most = t, load
-		}
-	}
-	if heaviest == nil {
-		q.refuseRequest(i, ReasonFull)
-		return
-	}
-	var newest *item
-	for class := classSingle; class < numClasses; class++ {
-		if w := heaviest.waiting[class]; len(w) > 0 && (newest == nil || w[len(w)-1].order > newest.order) {
-			newest = w[len(w)-1]
-		}
-	}
-	q.refuseRequest(newest, ReasonFull)
-}
-
 // refuseRequest refuses a waiting request for the given reason.
-func (q *Queue) refuseRequest(i *item, reason Reason) {
+func (q *Queue) refuseRequest(now time.Time, i *item, reason Reason) {
+	var retry time.Duration
+	if reason == ReasonDeadline || reason == ReasonFull || reason == ReasonTeamFull {
+		retry = q.waitOf(now, i)
+	}
 	q.removeWaiting(i)
-	q.decisions = append(q.decisions, Decision{Kind: Refuse, Request: i.ID, Reason: reason})
+	q.decisions = append(q.decisions, Decision{Kind: Refuse, Request: i.ID, Reason: reason, Retry: retry})
 }
 
 // removeWaiting removes a request from the waiting ones.
@@ -358,7 +338,7 @@
 	w := &i.team.waiting[i.class]
 	if k := slices.Index(*w, i); k >= 0 {
 		*w = slices.Delete(*w, k, k+1)
-		q.queued--
+		q.uncountWaiting(i)
 	}
 	delete(q.items, i.ID)
 }
@@ -384,34 +364,3 @@
 	}
 	return t
 }
-
-// queued returns the number of the team's waiting requests.
-func (t *team) queued() int {
-	return len(t.waiting[classInTransaction]) + len(t.waiting[classSingle]) + len(t.waiting[classBegin])
-}
-
-// estimate is a moving average of service times. It halves with each second without a
-// new observation, so that a wrong estimate does not make the queue refuse a team's
-// requests forever.
-type estimate struct {
-	mean time.Duration
-	last time.Time
-}
-
-// observe adds a service time to the average.
-func (e *estimate) observe(now time.Time, d time.Duration) {
-	if e.last.IsZero() {
-		e.mean = d
-	} else {
-		e.mean += (d - e.mean) / 8
-	}
-	e.last = now
-}
-
-// at returns the average at the given time, or 0 without an observation.
-func (e *estimate) at(now time.Time) time.Duration {
-	if e.last.IsZero() {
-		return 0
-	}
-	return time.Duration(float64(e.mean) * math.Exp2(-now.Sub(e.last).Seconds()))
-}
--- a/core/queue/schedule.go
+++ b/core/queue/schedule.go
@@ -9,15 +9,11 @@
 // transactions that have been idle for too long, and starts what can start.
 func (q *Queue) Tick(now time.Time) []Decision {
 	for _, t := range q.teams {
-		for class := range numClasses {
-			for _, i := range slices.Clone(t.waiting[class]) {
-				if !i.Deadline.IsZero() && !now.Before(i.Deadline) {
-					q.refuseRequest(i, ReasonDeadline)
-				}
-			}
+		if t.count > 0 {
+			q.checkWaiting(now, t)
 		}
 	}
-	ids := make([]uint64, 0, len(q.sessions))
+	var ids []uint64
 	for _, c := range q.sessions {
 		if c.running == nil && now.Sub(c.idleSince) >= q.opts.IdleTimeout {
 			ids = append(ids, c.id)
@@ -27,7 +23,7 @@
 	for _, id := range ids {
 		q.decisions = append(q.decisions, Decision{Kind: Close, Connection: id, Reason: ReasonIdle})
 		q.chargeElapsed(now)
-		q.removeConnection(q.conns[id])
+		q.removeConnection(now, q.conns[id])
 	}
 	return q.schedule(now)
 }
@@ -42,7 +38,7 @@
 	q.chargeElapsed(now)
 	used := now.Sub(i.started)
 	i.team.credit += i.charged - used // replace the estimated charge by the time used
-	i.team.service.observe(now, used)
+	q.observeService(now, i, used)
 	c := i.conn
 	q.removeRunning(i)
 	c.running = nil
@@ -53,7 +49,7 @@
 		}
 		c.chargedUntil, c.idleSince = now, now
 	default:
-		q.endTransaction(c, ReasonTransaction)
+		q.endTransaction(now, c, ReasonTransaction)
 		q.addIdle(now, c)
 	}
 	return q.schedule(now)
@@ -63,6 +59,19 @@
 func (q *Queue) addIdle(now time.Time, c *conn) {
 	c.idleSince = now
 	q.idle = append(q.idle, c)
+	if c.boundTeam != nil {
+		c.boundTeam.idle++
+	}
+}
+
+// takeIdle removes the connection at index k from the idle ones and returns it.
+func (q *Queue) takeIdle(k int) *conn {
+	c := q.idle[k]
+	q.idle = slices.Delete(q.idle, k, k+1)
+	if c.boundTeam != nil {
+		c.boundTeam.idle--
+	}
+	return c
 }
 
 // TrimIdle closes connections that have been idle for at least the given time, so that
@@ -80,12 +89,18 @@
 
 // closeIdle closes the connection at index k of the idle ones.
 func (q *Queue) closeIdle(k int) {
-	c := q.idle[k]
-	q.idle = slices.Delete(q.idle, k, k+1)
+	c := q.takeIdle(k)
 	delete(q.conns, c.id)
 	q.decisions = append(q.decisions, Decision{Kind: Close, Connection: c.id, Reason: ReasonReplaced})
 }
 
+// SetSlots sets the number of statements that may execute at the same time, at least 1.
+// Statements above a lowered number go on.
+func (q *Queue) SetSlots(now time.Time, slots int) []Decision {
+	q.opts.Slots = max(1, slots)
+	return q.schedule(now)
+}
+
 // SetConnectionLimit sets the number of connections that may be open, at least 1. Open
 // connections stay, but with Options.TeamBound an idle connection of one team is closed
 // when another team needs a new connection.
@@ -105,7 +120,7 @@
 		return nil
 	}
 	q.chargeElapsed(now)
-	q.endTransaction(c, ReasonTransaction)
+	q.endTransaction(now, c, ReasonTransaction)
 	q.addIdle(now, c)
 	return q.schedule(now)
 }
@@ -115,19 +130,21 @@
 	c.session, c.team = i.Session, i.team
 	q.sessions[i.Session] = c
 	i.team.heldConns++
+	q.held++
 }
 
 // endTransaction releases a connection from its transaction, if there is one. Requests
 // that wait to run in the transaction are refused.
-func (q *Queue) endTransaction(c *conn, reason Reason) {
+func (q *Queue) endTransaction(now time.Time, c *conn, reason Reason) {
 	if c.session == 0 {
 		return
 	}
 	c.team.heldConns--
+	q.held--
 	delete(q.sessions, c.session)
 	for _, i := range slices.Clone(c.team.waiting[classInTransaction]) {
 		if i.conn == c {
-			q.refuseRequest(i, reason)
+			q.refuseRequest(now, i, reason)
 		}
 	}
 	c.session, c.team = 0, nil
@@ -146,8 +163,8 @@
 	if c == nil || !c.opening {
 		return nil
 	}
-	c.opening = false
-	q.opening--
+	q.endOpening(now, c)
+	q.openTime.observe(now, now.Sub(c.openedAt))
 	q.backoff = 0
 	q.addIdle(now, c)
 	return q.schedule(now)
@@ -161,11 +178,11 @@
 	}
 	q.chargeElapsed(now)
 	if c.opening {
-		q.opening--
+		q.endOpening(now, c)
 		q.backoff = min(max(2*q.backoff, openBackoff), maxOpenBackoff)
 		q.openAfter = now.Add(q.backoff)
 	}
-	q.removeConnection(c)
+	q.removeConnection(now, c)
 	return q.schedule(now)
 }
 
@@ -175,22 +192,22 @@
 	if c := q.sessions[session]; c != nil {
 		q.chargeElapsed(now)
 		q.decisions = append(q.decisions, Decision{Kind: Close, Connection: c.id, Reason: ReasonTransaction})
-		q.removeConnection(c)
+		q.removeConnection(now, c)
 	}
 	return q.schedule(now)
 }
 
 // removeConnection removes a connection. A request that runs on it fails, and requests
 // that wait for its transaction are refused.
-func (q *Queue) removeConnection(c *conn) {
+func (q *Queue) removeConnection(now time.Time, c *conn) {
 	if i := c.running; i != nil {
 		q.removeRunning(i)
 		q.decisions = append(q.decisions, Decision{Kind: Fail, Request: i.ID, Connection: c.id, Reason: ReasonLost})
 	}
-	q.endTransaction(c, ReasonTransaction)
+	q.endTransaction(now, c, ReasonTransaction)
 	delete(q.conns, c.id)
 	if k := slices.Index(q.idle, c); k >= 0 {
-		q.idle = slices.Delete(q.idle, k, k+1)
+		q.takeIdle(k)
 	}
 }
 
@@ -198,10 +215,14 @@
 // have used until now. A second of a held idle connection costs Slots / Connections of a
 // slot second.
 func (q *Queue) chargeElapsed(now time.Time) {
+	q.elapsed, q.expected = 0, 0
 	for _, c := range q.conns {
 		switch i := c.running; {
 		case i != nil:
-			if used := now.Sub(i.started); used > i.charged {
+			used := now.Sub(i.started)
+			q.elapsed += float64(used)
+			q.expected += float64(i.expected)
+			if used > i.charged {
 				i.team.credit -= used - i.charged
 				i.charged = used
 			}
@@ -218,14 +239,18 @@
 func (q *Queue) schedule(now time.Time) []Decision {
 	q.chargeElapsed(now)
 	for q.busySlots() < q.opts.Slots {
-		i := q.pickNext(now)
-		if i == nil {
+		next, ok := q.pickNext(now)
+		if !ok {
 			break
 		}
-		q.startRequest(now, i)
+		if next.item == nil {
+			q.openTeamBound(now, next.team)
+			continue
+		}
+		q.startRequest(now, next.item)
 	}
 	for _, t := range q.teams {
-		if t.queued() == 0 && t.running == 0 {
+		if t.count == 0 && t.running == 0 {
 			t.credit = min(t.credit, 0)
 		}
 	}
@@ -249,6 +274,9 @@
 // there is none.
 func (q *Queue) idleFor(t *team, session uint64) *conn {
 	var found *conn
+	if q.opts.TeamBound && t.idle == 0 {
+		return nil
+	}
 	for _, c := range slices.Backward(q.idle) {
 		if q.opts.TeamBound && c.boundTeam != t {
 			continue
@@ -263,138 +291,53 @@
 	return found
 }
 
-// openTeamBound opens connections for teams that wait for one, while slots are free. If
-// all connections are open, the least recently used idle connection of another team is
-// closed first.
-func (q *Queue) openTeamBound() {
-	for k := range q.teams {
-		t := q.teams[(q.next+k)%len(q.teams)]
-		need := len(t.waiting[classSingle])
-		if q.mayBegin(t) {
-			need += len(t.waiting[classBegin])
-		}
-		for _, c := range q.conns {
-			if c.boundTeam == t && (c.opening || slices.Contains(q.idle, c)) {
-				need--
-			}
-		}
-		if need <= 0 || q.paused || q.opening >= q.opts.MaxOpening || q.busySlots() >= q.opts.Slots {
-			continue
-		}
-		if len(q.conns) >= q.opts.Connections && !q.closeIdleOfOther(t) {
-			continue
-		}
-		q.lastConn++
-		q.conns[q.lastConn] = &conn{id: q.lastConn, opening: true, boundTeam: t}
-		q.opening++
-		q.decisions = append(q.decisions, Decision{Kind: Open, Connection: q.lastConn, Team: t.name})
+// mayOpenTeamBound reports whether a connection may be opened for a team that waits for
+// one.
+func (q *Queue) mayOpenTeamBound(now time.Time, t *team) bool {
+	if q.opening >= q.opts.MaxOpening || q.closed || now.Before(q.openAfter) {
+		return false
 	}
-}
-
-// closeIdleOfOther closes the least recently used idle connection of another team than
-// t, and reports whether there was one.
-func (q *Queue) closeIdleOfOther(t *team) bool {
-	for k, c := range q.idle {
-		if c.boundTeam != t {
-			q.closeIdle(k)
-			return true
-		}
+	need := len(t.waiting[classSingle])
+	if n := len(t.waiting[classBegin]); n > 0 && q.mayBegin(t) {
+		need += n
 	}
-	return false
+	return need > t.idle+t.opening && (len(q.conns) < q.opts.Connections || len(q.idle) > t.idle)
 }
 
-// pickNext returns the request to start next, or nil if none can start.
-func (q *Queue) pickNext(now time.Time) *item {
-	if q.opts.Policy == FIFO {
-		var first *item
-		for _, t := range q.teams {
-			if i := q.nextStartable(now, t); i != nil && (first == nil || i.order < first.order) {
-				first = i
-			}
-		}
-		return first
-	}
-	ready := make([]*item, len(q.teams))
-	anyReady := false
-	for k, t := range q.teams {
-		ready[k] = q.nextStartable(now, t)
-		anyReady = anyReady || ready[k] != nil
-	}
-	if !anyReady {
-		return nil
-	}
-	q.grantCredit(ready)
-	for k := range q.teams {
-		k = (q.next + k) % len(q.teams)
-		// The team keeps its turn while it has credit.
-		if ready[k] != nil && q.teams[k].credit > 0 {
-			q.next = k
-			return ready[k]
-		}
-	}
-	return nil
+// openTeamBound opens a connection for a team. If all connections are open, the least
+// recently used idle connection of another team is closed first. The team is charged for
+// the slot that the opening takes.
+func (q *Queue) openTeamBound(now time.Time, t *team) {
+	if len(q.conns) >= q.opts.Connections {
+		q.closeIdleOfOther(t)
+	}
+	q.lastConn++
+	c := &conn{id: q.lastConn, opening: true, openedAt: now, boundTeam: t, charged: q.openTime.at(now)}
+	t.credit -= c.charged
+	q.conns[c.id] = c
+	q.opening++
+	t.opening++
+	q.decisions = append(q.decisions, Decision{Kind: Open, Connection: c.id, Team: t.name})
 }
 
-// grantCredit adds as many rounds of credit as it takes until some team with a request
-// in ready has credit. Teams without such a request repay their debt, but their credit
-// grows to at most one quantum, and to 0 if they have no waiting request.
-func (q *Queue) grantCredit(ready []*item) {
-	least := time.Duration(-1)
-	for k, t := range q.teams {
-		if ready[k] == nil {
-			continue
-		}
-		if t.credit > 0 {
-			return
-		}
-		if n := -t.credit/t.quantum() + 1; least < 0 || n < least {
-			least = n
-		}
-	}
-	for k, t := range q.teams {
-		most := t.quantum()
-		if t.queued() == 0 {
-			most = 0
-		}
-		if c := t.credit + least*t.quantum(); ready[k] != nil || c <= most {
-			t.credit = c
-		} else {
-			t.credit = max(t.credit, most)
-		}
+// endOpening records that an attempt to open a connection has ended.
+func (q *Queue) endOpening(now time.Time, c *conn) {
+	c.opening = false
+	q.opening--
+	if t := c.boundTeam; t != nil {
+		t.opening--
+		t.credit += c.charged - now.Sub(c.openedAt)
 	}
 }
 
-// quantum is the credit that the team gets in each round.
-func (t *team) quantum() time.Duration { return time.Duration(t.weight * float64(quantum)) }
-
-// nextStartable returns the team's next request that can start now, or nil. Statements
-// of open transactions come first, since finishing them frees connections. On the way it
-// refuses the requests at the head of each class that cannot finish by their deadline.
-func (q *Queue) nextStartable(now time.Time, t *team) *item {
-	for class := range numClasses {
-		for len(t.waiting[class]) > 0 {
-			i := t.waiting[class][0]
-			if i.Deadline.IsZero() || !now.Add(t.service.at(now)).After(i.Deadline) {
-				break
-			}
-			q.refuseRequest(i, ReasonDeadline)
-		}
-	}
-	for _, i := range t.waiting[classInTransaction] {
-		if i.conn.running == nil {
-			return i
-		}
-	}
-	if q.paused || q.idleFor(t, 0) == nil {
-		return nil
-	}
-	var first *item
-	for class := classSingle; class < numClasses; class++ {
-		if w := t.waiting[class]; len(w) > 0 && (class == classSingle || q.mayBegin(t)) && (first == nil || w[0].order < first.order) {
-			first = w[0]
+// closeIdleOfOther closes the least recently used idle connection of another team than t.
+func (q *Queue) closeIdleOfOther(t *team) {
+	for k, c := range q.idle {
+		if c.boundTeam != t {
+			q.closeIdle(k)
+			return
 		}
 	}
-	return first
 }
 
 // mayBegin reports whether the team may hold one more connection for a transaction. As
@@ -405,17 +348,19 @@
 		return true
 	}
 	pool := max(1, q.opts.Connections-q.opts.Slots)
-	held, weights := 0, t.weight
+	if q.held >= pool {
+		return false
+	}
+	if pool-q.held > pool/4 {
+		return true
+	}
+	weights := t.weight
 	for _, other := range q.teams {
-		held += other.heldConns
-		if other != t && (other.queued() > 0 || other.heldConns > 0) {
+		if other != t && (other.count > 0 || other.heldConns > 0) {
 			weights += other.weight
 		}
 	}
-	if held >= pool {
-		return false
-	}
-	return pool-held > pool/4 || float64(t.heldConns) < max(1, float64(pool)*t.weight/weights)
+	return float64(t.heldConns) < max(1, float64(pool)*t.weight/weights)
 }
 
 // startRequest assigns a connection to a waiting request and starts it.
@@ -423,11 +368,10 @@
 	w := &i.team.waiting[i.class]
 	k := slices.Index(*w, i)
 	*w = slices.Delete(*w, k, k+1)
-	q.queued--
+	q.uncountWaiting(i)
 	if i.class != classInTransaction {
 		i.conn = q.idleFor(i.team, i.Session)
-		k := slices.Index(q.idle, i.conn)
-		q.idle = slices.Delete(q.idle, k, k+1)
+		q.takeIdle(slices.Index(q.idle, i.conn))
 	}
 	i.conn.lastSession = i.Session
 	if i.class == classBegin && i.Session != 0 {
@@ -435,8 +379,10 @@
 	}
 	i.conn.running = i
 	i.started = now
-	i.charged = i.team.service.at(now)
+	i.charged = q.serviceOf(now, i.team, i.priority)
+	i.expected = i.charged
 	i.team.credit -= i.charged
+	i.team.owed[i.priority] -= i.expected
 	i.team.running++
 	q.running++
 	q.decisions = append(q.decisions, Decision{Kind: Start, Request: i.ID, Connection: i.conn.id})
@@ -446,18 +392,14 @@
 // ones. It opens few at a time, so that a failover does not cause a burst of new
 // connections to the upstream.
 func (q *Queue) openConnections(now time.Time) {
-	if now.Before(q.openAfter) || q.closed {
-		return
-	}
-	if q.opts.TeamBound {
-		q.openTeamBound()
+	if now.Before(q.openAfter) || q.closed || q.opts.TeamBound {
 		return
 	}
 	need := 0
 	for _, t := range q.teams {
 		need += len(t.waiting[classSingle])
-		if q.mayBegin(t) {
-			need += len(t.waiting[classBegin])
+		if n := len(t.waiting[classBegin]); n > 0 && q.mayBegin(t) {
+			need += n
 		}
 	}
 	busy := len(q.conns) - len(q.idle) - q.opening
