gateway, node: Statements carry priority and target to the queue, refusals their wait

Cause: the queue did not know which statements are urgent, and each refusal advised the same 250 ms. A read refused by the only upstream for lack of capacity was sent there ten times at once, and then waited for the rest of its time.

The gateway passes priority and target to the queue, returns the estimated wait as the retry hint (20 ms to 2 s), counts refusals by reason in burdockseam_gateway_refused_total, and logs them once a second for each upstream. A read that an upstream has refused for lack of capacity is offered to it once more if no other is left, with all of its time; a second refusal is final.

Tests: go test ./core/queue ./io/gateway ./io/node ./platform ./io/instance. Not tested by itself: the second offer of a read.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -78,6 +78,7 @@
 	cappedAt        time.Time   // when the upstream refused a further connection, or zero
 	dialFailure     call.Reply  // the reply to requests if the last connection attempt failed
 	dialFailedAt    time.Time
+	refused         refusals
 }
 
 // startDecision starts a waiting request on a connection or, if conn is nil, refuses it.
@@ -140,7 +141,8 @@
 	}
 	g.applyDecisions(g.queue.Enqueue(now, queue.Request{
 		ID: id, Team: r.Team, Session: number, Inside: r.Inside, Deadline: deadline,
-		Begin: r.Open == call.OpenWrite || r.Open == call.OpenRead,
+		Begin:    r.Open == call.OpenWrite || r.Open == call.OpenRead,
+		Priority: r.Priority, Target: r.Target,
 	}))
 	g.startTicking()
 	g.mu.Unlock()
@@ -148,6 +150,7 @@
 	case s := <-decision:
 		g.gateways.observer.Waited(g.gateways.now().Sub(now))
 		if s.conn == nil {
+			g.recordRefusal(r, s.refusal, g.gateways.now().Sub(now))
 			return g.finishRequest(r.Session, s.refusal)
 		}
 		return g.finishRequest(r.Session, g.execute(s.conn, id, r, deadline))
@@ -202,7 +205,7 @@
 			c.busy = true
 			g.notifyWaiting(d.Request, startDecision{conn: c})
 		case queue.Refuse:
-			g.notifyWaiting(d.Request, startDecision{refusal: g.refusalReply(d.Reason)})
+			g.notifyWaiting(d.Request, startDecision{refusal: refusalReply(d)})
 		case queue.Open:
 			go g.dial(d.Connection, d.Team)
 		case queue.Close, queue.Fail:
@@ -211,20 +214,6 @@
 	}
 }
 
-// refusalReply returns the reply to a request that the queue has refused.
-func (g *Gateway) refusalReply(why queue.Reason) call.Reply {
-	if why == queue.ReasonTransaction || why == queue.ReasonIdle {
-		return call.Refusal(call.Aborted, string(why))
-	}
-	r := call.Refusal(call.Busy, string(why))
-	r.Retry = retryHint
-	return r
-}
-
-// retryHint is the time after which a statement that was refused for lack of capacity may
-// be retried: about the time in which two slots serve the backlog of a full second.
-const retryHint = 250 * time.Millisecond
-
 // notifyWaiting passes a decision to the request that waits for it. The lock is held.
 func (g *Gateway) notifyWaiting(id uint64, s startDecision) {
 	if w, ok := g.waiting[id]; ok {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -489,3 +489,6 @@
 
 // Answered implements Observer.
 func (silentObserver) Answered(time.Duration) {}
+
+// Refused implements Observer.
+func (silentObserver) Refused(string, bool) {}
--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -30,6 +30,9 @@
 	Waited(time.Duration)
 	// Answered receives the time from sending a statement to the upstream's answer.
 	Answered(time.Duration)
+	// Refused receives the reason why a request was refused before it was sent to the
+	// upstream, and whether it had been held for more than a quarter of its target.
+	Refused(reason string, late bool)
 }
 
 // Usage counts the statements and connections of all gateways of an instance.
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -10,6 +10,7 @@
 
 	"burdockseam/core/access"
 	"burdockseam/core/call"
+	"burdockseam/core/queue"
 )
 
 // nodeMetrics holds the metrics of an instance. Times are in seconds.
@@ -37,6 +38,17 @@
 // Answered implements gateway.Observer.
 func (m *nodeMetrics) Answered(d time.Duration) { m.upstreamTime.Update(d.Seconds()) }
 
+// Refused implements gateway.Observer. The reasons of the queue are the values of the label;
+// other texts contain addresses and are counted together.
+func (m *nodeMetrics) Refused(reason string, late bool) {
+	switch queue.Reason(reason) {
+	case queue.ReasonDeadline, queue.ReasonTeamFull, queue.ReasonFull, queue.ReasonTransaction, queue.ReasonIdle, queue.ReasonClosed:
+	default:
+		reason = "upstream"
+	}
+	m.increment(fmt.Sprintf("burdockseam_gateway_refused_total{reason=%q,late=\"%t\"}", reason, late))
+}
+
 // registerGauges registers the gauges of the instance's state.
 func (m *nodeMetrics) registerGauges(n *Node) {
 	for name, value := range map[string]func() int{
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -78,6 +78,9 @@
 	open     call.Open
 	after    wal.Position
 	reason   string
+	// last says that a read may use all of its time, since the upstream has refused it
+	// before and no other one was left.
+	last bool
 }
 
 // Run implements caller.Router.
@@ -122,6 +125,7 @@
 			}
 			continue
 		}
+		c.last = last.Code == call.Busy && tried[c.upstream.Name] > 0
 		attempt++
 		tried[c.upstream.Name]++
 		last = n.sendStatement(ctx, op, s, c, deadline)
@@ -133,7 +137,8 @@
 		if last.Ran == call.RanMaybe && op.Kind != "" {
 			n.endTransaction(c.gateway.Address, EndRequest{Upstream: c.upstream.Name, Session: op.Name})
 		}
-		if isFinal(op, s, last) || !n.now().Before(deadline) {
+		// A repeated refusal for lack of capacity is final: more attempts would only add load.
+		if isFinal(op, s, last) || c.last && last.Code == call.Busy || !n.now().Before(deadline) {
 			return last
 		}
 	}
@@ -339,13 +344,15 @@
 	}
 	began := n.now()
 	budget := deadline.Sub(began)
-	if !s.IsWrite() && s.Kind != call.Commit {
+	if !s.IsWrite() && s.Kind != call.Commit && !c.last {
 		budget = min(budget, time.Duration(readAttemptShare*float64(op.Grant.Route.Timeout)))
 	}
 	req := call.Request{
 		Group: c.upstream.Group, Upstream: c.upstream.Name, Address: c.upstream.Address, Slots: c.upstream.Slots, Limit: c.upstream.Connections,
 		Team: op.Grant.Team.Name, Session: op.Name, Inside: op.Upstream != "", Open: c.open, Statement: s,
 		After: c.after, Values: op.Values, Budget: budget, Idle: n.snapshot.Load().policy.TransactionIdle,
+		Priority: op.Grant.Route.Priority, Target: targetLeft(op, began),
+		Born: c.upstream.Incarnation, Since: began.Sub(c.upstream.since), Adaptive: n.settings().Adaptive,
 	}
 	n.addInFlight(c.upstream.Name, 1)
 	r := n.callGateway(ctx, c.gateway, req, op)
@@ -366,13 +373,6 @@
 	return r
 }
 
-// addInFlight changes the number of this instance's statements in flight at an upstream.
-func (n *Node) addInFlight(upstream string, d int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.statsOf(upstream).inFlight += d
-}
-
 // callGateway sends a request to a gateway. If no reply arrives, the outcome is in doubt
 // only for a commit or a write outside of a transaction: any other statement has changed
 // nothing that is kept.
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -38,6 +38,8 @@
 	// eligible is set if the upstream takes new work: it is active and its failure domain is
 	// not out.
 	eligible bool
+	// since is the time at which this instance learned of the upstream's incarnation.
+	since time.Time
 }
 
 // snapshot is an instance's view of the fleet, built from its tables. It is immutable.
@@ -68,6 +70,8 @@
 	data  json.RawMessage
 	entry Entry
 	err   error
+	// since is the time at which an entry with this incarnation was first decoded.
+	since time.Time
 }
 
 // newSnapshot returns the view of an instance that has no tables yet: a fleet of itself
@@ -134,7 +138,11 @@
 		d, ok := before[o.Name]
 		if !ok || !bytes.Equal(d.data, o.Data) {
 			e, err := n.schema.Upstream(o)
-			d = decodedEntry{o.Data, e, err}
+			since := d.since
+			if !ok || d.entry.Incarnation != e.Incarnation {
+				since = n.now()
+			}
+			d = decodedEntry{o.Data, e, err, since}
 		}
 		s.entryCache[o.Name] = d
 		if d.err != nil {
@@ -153,6 +161,7 @@
 		u := &upstream{
 			Entry: e, stamp: Stamp{era, o.Revision}, place: n.settings().Place(e.Domain),
 			eligible: e.State == config.StateActive && !s.outDomains[e.Domain],
+			since:    d.since,
 		}
 		s.upstreams[e.Name] = u
 		s.groups[e.Group] = append(s.groups[e.Group], u)
--- a/io/node/tables_test.go
+++ b/io/node/tables_test.go
@@ -169,7 +169,7 @@
 // one in force.
 func TestSnapshotSkipsUnreadableObjects(t *testing.T) {
 	now := time.Unix(0, 0)
-	n := &Node{schema: testSchema{}, log: logr.Discard(), skippedRevisions: make(map[string]uint64)}
+	n := &Node{schema: testSchema{}, log: logr.Discard(), now: func() time.Time { return now }, skippedRevisions: make(map[string]uint64)}
 	n.activeSettings.Store(&Settings{Regions: map[string]string{"d1": "r1", "d2": "r1"}})
 	n.self.Address = "self"
 	n.tables, _ = newTestTables(&now)
