gateway: The pace of an upstream that has just started follows its answers

Cause: a gateway allowed an upstream slots + 1 statements at a time from its first answer on. Operators see upstreams that are overloaded right after a start, a promotion or a loss of power.

Change: core/pace decides the limit. It begins at an eighth for a young, new, recovered or promoted upstream, doubles with each round of good answers, and halves if answers fail or become slower with the work in flight; where halving makes them no faster, it grows again.

Tests: go test ./core/pace ./core/queue ./io/gateway ./io/node ./io/instance, and -race -count 2 for ./io/gateway.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -74,10 +74,12 @@
 	// wrote says that a statement of the transaction may have changed data.
 	wrote bool
 
-	// busy says that a statement or a rollback is running, and opener is the ID of the
-	// request that opened the transaction. Both are guarded by the gateway's lock.
+	// busy says that a statement or a rollback is running, opener is the ID of the request
+	// that opened the transaction, and round is the round of the pace in which the last
+	// statement was started. They are guarded by the gateway's lock.
 	busy   bool
 	opener uint64
+	round  int
 }
 
 // preparedName returns the name under which a shape is prepared on every connection. The
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -75,7 +75,9 @@
 		time.Sleep(busyRetryInterval)
 		a, err = c.Run(deadline, s, preparedName(s), r.After)
 	}
-	g.gateways.observer.Answered(g.gateways.now().Sub(began))
+	took := g.gateways.now().Sub(began)
+	g.gateways.observer.Answered(took)
+	g.recordPace(c, r, a, err, max(1, took))
 	if err != nil {
 		g.releaseConnection(c, id, r, false)
 		return g.lostAnswerReply(r, err)
@@ -126,6 +128,7 @@
 // failPreparation returns the reply to a request for which the connection could not be
 // prepared. The caller's statement was not sent.
 func (g *Gateway) failPreparation(c *pooledConn, id uint64, r call.Request, a call.Answer, err error) call.Reply {
+	g.recordPace(c, r, a, err, 0)
 	if err != nil {
 		g.releaseConnection(c, id, r, false)
 		g.gateways.log.Info("gateway: connection lost before the statement", "upstream", g.upstream, "id", r.Statement.ID, "err", err.Error())
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -79,6 +79,7 @@
 	dialFailure     call.Reply  // the reply to requests if the last connection attempt failed
 	dialFailedAt    time.Time
 	refused         refusals
+	pace            upstreamPace
 }
 
 // startDecision starts a waiting request on a connection or, if conn is nil, refuses it.
@@ -129,6 +130,7 @@
 		g.cappedAt = time.Time{}
 		g.applyDecisions(g.queue.SetConnectionLimit(now, g.connectionLimit))
 	}
+	g.adaptPace(now, r)
 	g.lastID++
 	id := g.lastID
 	decision := make(chan startDecision, 1)
@@ -185,6 +187,7 @@
 		}
 	}
 	r.Load = g.queue.Queued() + g.queue.Running()
+	r.Pace = g.pace.limit()
 	return r
 }
 
@@ -203,6 +206,9 @@
 		case queue.Start:
 			c := g.conns[d.Connection]
 			c.busy = true
+			if g.pace.Pace != nil {
+				c.round = g.pace.Round()
+			}
 			g.notifyWaiting(d.Request, startDecision{conn: c})
 		case queue.Refuse:
 			g.notifyWaiting(d.Request, startDecision{refusal: refusalReply(d)})
@@ -251,6 +257,7 @@
 	if err == nil {
 		g.dialFailure = call.Reply{}
 		g.conns[id] = &pooledConn{Conn: c, id: id, team: team}
+		g.recordDial(now, true)
 		g.applyDecisions(g.queue.ConnectionOpened(now, id))
 		return
 	}
@@ -265,6 +272,7 @@
 		return
 	}
 	g.dialFailure, g.dialFailedAt = reply, now
+	g.recordDial(now, false)
 	g.applyDecisions(g.queue.ConnectionLost(now, id))
 	for id := range g.waiting {
 		if waiting, list := g.queue.Cancel(now, id); waiting {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -492,3 +492,6 @@
 
 // Refused implements Observer.
 func (silentObserver) Refused(string, bool) {}
+
+// Paced implements Observer.
+func (silentObserver) Paced(string) {}
--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"burdockseam/core/call"
+	"burdockseam/core/pace"
 )
 
 // Gateways holds the gateways of one instance, one for each upstream for which the
@@ -19,6 +20,7 @@
 	observer Observer
 	log      logr.Logger
 	now      func() time.Time
+	wall     func() time.Time // wall clock, for the age of an upstream
 
 	mu         sync.Mutex
 	byUpstream map[string]*Gateway
@@ -33,14 +35,18 @@
 	// Refused receives the reason why a request was refused before it was sent to the
 	// upstream, and whether it had been held for more than a quarter of its target.
 	Refused(reason string, late bool)
+	// Paced receives the phase into which the pace of an upstream has changed.
+	Paced(phase string)
 }
 
-// Usage counts the statements and connections of all gateways of an instance.
-type Usage struct{ Queued, Running, Connections int }
+// Usage counts the statements and connections of all gateways of an instance. Pace is the
+// number of statements allowed at a time at the upstreams whose pace is adapted, and Below the
+// number of upstreams below their full pace.
+type Usage struct{ Queued, Running, Connections, Pace, Below int }
 
 // New returns Gateways without any gateway. Run creates gateways on demand.
 func New(d Dialer, o Observer, log logr.Logger, now func() time.Time) *Gateways {
-	return &Gateways{dialer: d, observer: o, log: log, now: now, byUpstream: make(map[string]*Gateway)}
+	return &Gateways{dialer: d, observer: o, log: log, now: now, wall: time.Now, byUpstream: make(map[string]*Gateway)}
 }
 
 // Run runs a request at the upstream that it names.
@@ -83,6 +89,10 @@
 		u.Queued += g.queue.Queued()
 		u.Running += g.queue.Running()
 		u.Connections += len(g.conns)
+		u.Pace += g.pace.limit()
+		if g.pace.Pace != nil && g.pace.Phase() != pace.Full {
+			u.Below++
+		}
 		g.mu.Unlock()
 	}
 	return u
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -49,12 +49,19 @@
 	m.increment(fmt.Sprintf("burdockseam_gateway_refused_total{reason=%q,late=\"%t\"}", reason, late))
 }
 
+// Paced implements gateway.Observer.
+func (m *nodeMetrics) Paced(phase string) {
+	m.increment(fmt.Sprintf("burdockseam_gateway_pace_total{phase=%q}", phase))
+}
+
 // registerGauges registers the gauges of the instance's state.
 func (m *nodeMetrics) registerGauges(n *Node) {
 	for name, value := range map[string]func() int{
 		"burdockseam_gateway_queued":      func() int { return n.gateways.Usage().Queued },
 		"burdockseam_gateway_running":     func() int { return n.gateways.Usage().Running },
 		"burdockseam_gateway_connections": func() int { return n.gateways.Usage().Connections },
+		"burdockseam_gateway_pace":        func() int { return n.gateways.Usage().Pace },
+		"burdockseam_gateway_pace_below":  func() int { return n.gateways.Usage().Below },
 		"burdockseam_callers":             func() int { open, _ := n.callers.Sessions(); return open },
 		"burdockseam_peers":               func() int { return len(n.snapshot.Load().instances) - 1 },
 		"burdockseam_peers_suspect":       n.suspectCount,
