node: Only a second refusal by a gateway's queue ends a read

Cause: a read was given up after a second Busy of any origin. A slot of the upstream that another gateway has taken for a moment also gives Busy, and was tried again before.

Change: the rule applies to refusals with a retry hint, which only the queue gives.

Tests: TestReadRefusedByQueue runs a read longer than one attempt and one longer than all of its time; without the second offer both are refused after their whole timeouts (700 and 200 ms).

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -33,11 +33,11 @@
 	// failedShare is the share of failed answers above which the full limit is reduced. Below
 	// the full limit each round with a failure reduces it.
 	failedShare = 0.25
+	// leastAnswers is the number of answers of a kind from which its usual time counts. The
+	// ratio of two exponential times exceeds 5 in 17 of 100 cases.
+	leastAnswers = 6
 	// The usual time of a kind is the mean of its first answers. It then follows the answers,
 	// faster ones sooner than slower ones.
-	// Until leastAnswers are known, the ratio to it says nothing: that of two exponential times
-	// exceeds 5 in 17 of 100 cases.
-	leastAnswers = 6
 	firstAnswers = 16
 	fasterWeight = 1.0 / firstAnswers
 	slowerWeight = 1.0 / 32
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -125,7 +125,7 @@
 			}
 			continue
 		}
-		c.last = last.Code == call.Busy && tried[c.upstream.Name] > 0
+		c.last = last.Code == call.Busy && last.Retry > 0 && tried[c.upstream.Name] > 0
 		attempt++
 		tried[c.upstream.Name]++
 		last = n.sendStatement(ctx, op, s, c, deadline)
@@ -137,8 +137,9 @@
 		if last.Ran == call.RanMaybe && op.Kind != "" {
 			n.endTransaction(c.gateway.Address, EndRequest{Upstream: c.upstream.Name, Session: op.Name})
 		}
-		// A repeated refusal for lack of capacity is final: more attempts would only add load.
-		if isFinal(op, s, last) || c.last && last.Code == call.Busy || !n.now().Before(deadline) {
+		// A repeated refusal by a gateway's queue, which advises when to retry, is final: more
+		// attempts would only add load.
+		if isFinal(op, s, last) || c.last && last.Code == call.Busy && last.Retry > 0 || !n.now().Before(deadline) {
 			return last
 		}
 	}
--- a/io/node/send_test.go
+++ b/io/node/send_test.go
@@ -1,15 +1,20 @@
 package node
 
 import (
+	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"burdockseam/core/access"
+	"burdockseam/core/call"
+	"burdockseam/core/wal"
 	"burdockseam/io/caller"
+	"burdockseam/io/gateway"
 )
 
 // TestTargetLeft guards against a target of 0 for a late operation, which the gateway would
@@ -71,3 +76,64 @@
 		}
 	}
 }
+
+// slowUpstream is an upstream whose statements take 300 ms. It counts them.
+type slowUpstream struct {
+	gateway.Conn
+	ran *atomic.Int32
+}
+
+// Dial implements gateway.Dialer.
+func (u slowUpstream) Dial(context.Context, string, string, string, string) (gateway.Conn, error) {
+	return u, nil
+}
+
+func (slowUpstream) Begin(time.Time, bool, wal.Position) (call.Answer, error) {
+	return call.Answer{State: call.Active}, nil
+}
+
+func (u slowUpstream) Run(time.Time, call.Statement, string, wal.Position) (call.Answer, error) {
+	u.ran.Add(1)
+	time.Sleep(300 * time.Millisecond)
+	return call.Answer{State: call.Active}, nil
+}
+
+func (slowUpstream) Rollback(time.Time) (call.Answer, error) { return call.Answer{}, nil }
+func (slowUpstream) Usable() bool                            { return true }
+func (slowUpstream) Close()                                  {}
+
+// TestReadRefusedByQueue guards against a read that is refused because it can't be served in
+// the time of one attempt, although it could be in all of its time, and against one that is
+// sent to the refusing gateway many times or held for the rest of its time.
+func TestReadRefusedByQueue(t *testing.T) {
+	n, err := New(Settings{Name: "a", Domain: "d0", Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Advertise: "a"}, Platform{Schema: largeSchema{groups: 1}}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.tables.install(Table{Kind: KindPolicy, Revision: 1, Objects: map[string]Object{"main": {Name: "main", Revision: 1}}})
+	n.tables.install(Table{Kind: KindUpstream, Revision: 1, Objects: map[string]Object{"u0": {Name: "u0", Revision: 1, Data: []byte("g0 d0 active")}}})
+	n.rebuild()
+	u := slowUpstream{ran: new(atomic.Int32)}
+	n.gateways = gateway.New(u, n.metrics, n.log, n.now)
+	n.primaries.recordProof("g0", "u0", n.now(), wal.Position{Term: 1, Offset: 1}, n.now(), false)
+	for _, step := range []struct {
+		name          string
+		timeout, most time.Duration
+		code          call.Code
+	}{
+		{"the first read, whose time is not known", 3 * time.Second, time.Second, call.OK},
+		{"longer than one attempt", 700 * time.Millisecond, 600 * time.Millisecond, call.OK},
+		{"longer than all of its time", 200 * time.Millisecond, 100 * time.Millisecond, call.Busy},
+	} {
+		op := newReadOperation(n, access.Primary)
+		op.Grant.Route.Timeout = step.timeout
+		ran, began := u.ran.Load(), n.now()
+		reply := n.Run(t.Context(), op, call.Statement{Kind: call.Read})
+		if took := n.now().Sub(began); reply.Code != step.code || took > step.most {
+			t.Errorf("%s: reply %+v after %v", step.name, reply, took)
+		}
+		if offered := u.ran.Load() > ran; offered != (step.code == call.OK) {
+			t.Errorf("%s: sent to the upstream: %v", step.name, offered)
+		}
+	}
+}
