--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -15,7 +15,9 @@
 	// holdShare is the share of the target latency after which a waiting request is
 	// checked again.
 	holdShare = 0.25
-	// waitMargin is the factor on the estimated wait above which a request is refused.
+	// waitMargin is the factor on the estimated wait above which a request with a target is
+	// refused. Under overload the queue fills up to the deadline, and the error of the estimate
+	// then decides which requests wait in vain.
 	waitMargin = 1.2
 	// usageTime is the time over which the slot time of each priority is averaged.
 	usageTime = time.Second
@@ -26,9 +28,11 @@
 	if i.Deadline.IsZero() {
 		return false
 	}
-	service := q.serviceOf(now, i.team, i.priority)
-	wait := float64(q.waitOf(now, i)) * waitMargin
-	return now.Add(time.Duration(wait) + service).After(i.Deadline)
+	wait := float64(q.waitOf(now, i))
+	if i.Target > 0 {
+		wait *= waitMargin
+	}
+	return now.Add(time.Duration(wait) + q.serviceOf(now, i.team, i.priority)).After(i.Deadline)
 }
 
 // waitOf returns the estimated time until the waiting request i starts.
