--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -489,3 +489,9 @@
 
 // Answered implements Observer.
 func (silentObserver) Answered(time.Duration) {}
+
+// Refused implements Observer.
+func (silentObserver) Refused(string, bool) {}
+
+// Paced implements Observer.
+func (silentObserver) Paced(string) {}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -10,6 +10,7 @@
 
 	"burdockseam/core/access"
 	"burdockseam/core/call"
+	"burdockseam/core/queue"
 )
 
 // nodeMetrics holds the metrics of an instance. Times are in seconds.
@@ -37,12 +38,30 @@
 // Answered implements gateway.Observer.
 func (m *nodeMetrics) Answered(d time.Duration) { m.upstreamTime.Update(d.Seconds()) }
 
+// Refused implements gateway.Observer. The reasons of the queue are the values of the label;
+// other texts contain addresses and are counted together.
+func (m *nodeMetrics) Refused(reason string, late bool) {
+	switch queue.Reason(reason) {
+	case queue.ReasonDeadline, queue.ReasonTeamFull, queue.ReasonFull, queue.ReasonTransaction, queue.ReasonIdle, queue.ReasonClosed:
+	default:
+		reason = "upstream"
+	}
+	m.increment(fmt.Sprintf("burdockseam_gateway_refused_total{reason=%q,late=\"%t\"}", reason, late))
+}
+
+// Paced implements gateway.Observer.
+func (m *nodeMetrics) Paced(phase string) {
+	m.increment(fmt.Sprintf("burdockseam_gateway_pace_total{phase=%q}", phase))
+}
+
 // registerGauges registers the gauges of the instance's state.
 func (m *nodeMetrics) registerGauges(n *Node) {
 	for name, value := range map[string]func() int{
 		"burdockseam_gateway_queued":      func() int { return n.gateways.Usage().Queued },
 		"burdockseam_gateway_running":     func() int { return n.gateways.Usage().Running },
 		"burdockseam_gateway_connections": func() int { return n.gateways.Usage().Connections },
+		"burdockseam_gateway_pace":        func() int { return n.gateways.Usage().Pace },
+		"burdockseam_gateway_pace_below":  func() int { return n.gateways.Usage().Below },
 		"burdockseam_callers":             func() int { open, _ := n.callers.Sessions(); return open },
 		"burdockseam_peers":               func() int { return len(n.snapshot.Load().instances) - 1 },
 		"burdockseam_peers_suspect":       n.suspectCount,
