quota: Collectors grant teams whose local part is below one token

Each instance now can delegate its part of all limits to a collector of its failure domain. Wants carry the tokens by priority, and less urgent classes leave a reserve. Modes tells which teams are limited in which way.

Not used by an instance yet.

--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -45,6 +45,8 @@
 	// Waiting is the number of callers' requests that wait for a token at the holder.
 	Waiting int
 	Reports []Report
+	// Classes has the wanted tokens by the priority of the requests. Only collectors use it.
+	Classes []int
 }
 
 // Request asks the owner of a shard for tokens and reports the spending of earlier ones.
@@ -67,6 +69,11 @@
 	// Backlog is the expected wait of a new request behind those that wait at all
 	// holders now.
 	Backlog time.Duration
+	// Barred is 1 more than the most urgent priority for which there is nothing until Retry, or
+	// 0 if there is none. Pace is the number of tokens that the holder can expect in a second.
+	// Only collectors set them.
+	Barred int
+	Pace   float64
 }
 
 // Reply answers the Request with the same Seq.
--- /dev/null
+++ b/core/quota/mode.go
@@ -0,0 +1,160 @@
+package quota
+
+// Which teams are limited by delegated parts, and which by the reserve and the owner. Instances
+// learn of changes at different times. A team therefore changes from one way to the other with
+// a pause that is longer than a change of the tables takes, in which it has no tokens: so the
+// last instance has stopped the one way before the first begins the other. Instances that have
+// started a short time ago use a shorter pause, since they have spent nothing before, and the
+// first complete tables apply without one.
+
+import (
+	"time"
+
+	"burdockseam/core/config"
+	"burdockseam/core/lease"
+)
+
+const (
+	// tableDelay is the time within which a change of the instances is known to all of them.
+	tableDelay = 5 * time.Second
+	// youngTime is the time after the first complete tables in which an instance counts as
+	// started a short time ago, and youngDelay replaces tableDelay then.
+	youngTime  = 15 * time.Second
+	youngDelay = time.Second
+	// returnShare is the part of the number of instances at which a team is limited by the
+	// reserve again, so that the join and the loss of single instances do not change the way.
+	returnShare = 0.8
+	// shrinkDelay is the time after which a lower number of instances applies.
+	shrinkDelay = 10 * time.Second
+	// growthPause is the time without growth after which an instance that has started a short
+	// time ago delegates its part. The objects of a fleet that starts for the first time appear
+	// one after the other.
+	growthPause = 700 * time.Millisecond
+)
+
+// Fleet is what the division of the limits depends on.
+type Fleet struct {
+	// Instances is the number of those that may be running.
+	Instances int
+	// Spare is as for Reserve.Configure.
+	Spare float64
+	// Delegates is set if all instances support delegated parts.
+	Delegates bool
+	// Complete is set once all tables are known.
+	Complete bool
+}
+
+// Modes tells how each team is limited. It is not safe for concurrent use.
+type Modes struct {
+	teams      map[string]teamMode
+	completeAt time.Time // zero before the first complete tables
+	sizes      []fleetSize
+	grownAt    time.Time
+}
+
+type teamMode struct {
+	delegated bool
+	from      time.Time // no tokens before
+}
+
+// fleetSize is a number of instances and the time at which it was last the newest.
+type fleetSize struct {
+	instances int
+	until     time.Time
+}
+
+// NewModes returns the state of an instance without teams.
+func NewModes() *Modes { return &Modes{teams: make(map[string]teamMode)} }
+
+// Update returns the teams that are limited by the owner and the reserve and those that are
+// limited by delegated parts. If next is not zero, a pause ends then and Update is due again.
+func (m *Modes) Update(now time.Time, f Fleet, teams map[string]config.Team) (owned, delegated map[string]config.Team, next time.Time) {
+	owned, delegated = make(map[string]config.Team), make(map[string]config.Team)
+	m.observeSize(now, f)
+	for name := range m.teams {
+		if _, ok := teams[name]; !ok || m.completeAt.IsZero() {
+			delete(m.teams, name)
+		}
+	}
+	if f.Complete && m.completeAt.IsZero() {
+		m.completeAt = now
+	}
+	for name, t := range teams {
+		mode, known := m.teams[name]
+		if want := f.Complete && f.Delegates && belowOneToken(t, f, mode.delegated); !known {
+			mode = teamMode{delegated: want}
+		} else if want != mode.delegated {
+			mode = teamMode{delegated: want, from: now.Add(m.pause(now, want))}
+		}
+		m.teams[name] = mode
+		switch {
+		case now.Before(mode.from):
+			if next.IsZero() || mode.from.Before(next) {
+				next = mode.from
+			}
+		case mode.delegated:
+			delegated[name] = t
+		default:
+			owned[name] = t
+		}
+	}
+	return owned, delegated, next
+}
+
+// belowOneToken reports whether an instance's part of a team's reserve is below one token.
+func belowOneToken(t config.Team, f Fleet, before bool) bool {
+	n := float64(max(1, f.Instances))
+	if before {
+		n /= returnShare
+	}
+	return t.Burst*ReserveShare < n && f.Spare < n
+}
+
+// pause returns the time without tokens when a team changes its way.
+func (m *Modes) pause(now time.Time, toDelegated bool) time.Duration {
+	switch {
+	case !toDelegated:
+		return tableDelay + lease.AddClockMargin(delegationLife+TransferLifetime)
+	case now.Sub(m.completeAt) < youngTime:
+		return youngDelay
+	}
+	return tableDelay
+}
+
+// observeSize records the number of instances.
+func (m *Modes) observeSize(now time.Time, f Fleet) {
+	if !f.Complete {
+		return
+	}
+	last := len(m.sizes) - 1
+	if last >= 0 && f.Instances > m.sizes[last].instances {
+		m.grownAt = now
+	}
+	if last >= 0 && m.sizes[last].instances == f.Instances {
+		m.sizes[last].until = now
+		return
+	}
+	if last >= 0 {
+		m.sizes[last].until = now
+	}
+	m.sizes = append(m.sizes, fleetSize{f.Instances, now})
+}
+
+// Part returns the part of all limits that the instance may delegate. A lower number of
+// instances raises it only after shrinkDelay. It is 0 before the tables are complete, and while
+// an instance that has just started sees the fleet grow.
+func (m *Modes) Part(now time.Time) float64 {
+	if len(m.sizes) == 0 || now.Sub(m.completeAt) < youngTime && now.Sub(m.grownAt) < growthPause {
+		return 0
+	}
+	last := len(m.sizes) - 1
+	n, kept := m.sizes[last].instances, m.sizes[:0]
+	for k, s := range m.sizes {
+		if k == last || now.Sub(s.until) < shrinkDelay {
+			kept = append(kept, s)
+			n = max(n, s.instances)
+		}
+	}
+	m.sizes = kept
+	return 1 / float64(max(1, n))
+}
