node: Teams with a local part below one token are limited by delegated parts

Such teams depended on one owner with a lease in the store: without it, or on the wrong side of a partition, all their requests were refused.

Instances now delegate their part to a collector of their failure domain (Node.Delegate), ask it for tokens (Node.Grant), and collectors lend to each other (Node.Transfer). The state has a lock of its own. An instance's object has the field delegates; while a known instance lacks it, and for teams with a local part of one token, the owner and the reserve work as before. An operation waits for a token for an eighth of its target latency, or 50 ms if that is more.

--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -30,8 +30,8 @@
 	// needTime is the time for which a collector keeps tokens for the demand of its own
 	// holders, and ahead of which it asks for them.
 	needTime = 200 * time.Millisecond
-	// minLenderPause and maxLenderPause bound the time for which a collector that lent nothing
-	// of a team is not asked again. The pause doubles with each such answer, so that collectors
+	// minLenderPause and maxLenderPause bound the time for which a collector that lent less than
+	// half of what was asked is not asked again. The pause doubles with each answer of nothing, so that collectors
 	// do not ask each other all the time while the whole team is over its limit.
 	minLenderPause = 200 * time.Millisecond
 	maxLenderPause = 1600 * time.Millisecond
@@ -208,12 +208,15 @@
 			n = min(r.Tokens[k], w.Tokens)
 		}
 		state := a.lenders[lender]
-		if n < w.Tokens/2 {
+		switch {
+		case n == 0:
 			state.pause = min(max(2*state.pause, minLenderPause), maxLenderPause)
-			state.retryAt = now.Add(state.pause)
-		} else {
-			state = lenderState{}
+		case n < w.Tokens/2:
+			state.pause = minLenderPause // all that it has now
+		default:
+			state.pause = 0
 		}
+		state.retryAt = now.Add(state.pause)
 		a.lenders[lender] = state
 		if n > 0 {
 			a.borrowed = append(a.borrowed, lot{n, sent.Add(lease.SubtractClockMargin(TransferLifetime))})
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -58,6 +58,7 @@
 // limitInputs are the inputs from which the limits of an instance are computed.
 type limitInputs struct {
 	version          uint64
+	ways             uint64 // number of changes of the way in which teams are limited
 	runningInstances int
 	burstAllowance   float64
 }
@@ -96,7 +97,8 @@
 
 // configure applies the limits of a snapshot.
 func (l *limits) configure(s *snapshot) {
-	in := limitInputs{s.policy.Version, s.runningInstances, l.n.settings().BurstAllowance}
+	teams, ways := l.n.delegates.configure(s)
+	in := limitInputs{s.policy.Version, ways, s.runningInstances, l.n.settings().BurstAllowance}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if in == l.inputs {
@@ -104,11 +106,9 @@
 	}
 	l.inputs = in
 	now := l.n.now()
-	teams := make(map[string]config.Team, len(s.policy.Teams))
-	granted := make(map[string]config.Team, len(s.policy.Teams))
-	for name, t := range s.policy.Teams {
-		teams[name] = t.Team
-		granted[name] = quota.OwnerPart(t.Team, s.runningInstances, l.n.settings().BurstAllowance*allowanceShare)
+	granted := make(map[string]config.Team, len(teams))
+	for name, t := range teams {
+		granted[name] = quota.OwnerPart(t, s.runningInstances, l.n.settings().BurstAllowance*allowanceShare)
 	}
 	l.reserve.Configure(now, s.runningInstances, l.n.settings().BurstAllowance*allowanceShare, teams)
 	l.quotaHolder.Configure(now, granted)
@@ -180,7 +180,7 @@
 		n.log.Info("request: refused", "id", id, "database", database, "code", r.Code, "why", r.Text, "version", policy.Version)
 		return grant, r
 	}
-	retry, ok := n.limits.takeToken(ctx, grant.Team.Name, grant.Route.TargetLatency/2)
+	retry, ok := n.takeToken(ctx, grant)
 	if ok {
 		return grant, call.Reply{}
 	}
@@ -192,6 +192,14 @@
 	return grant, r
 }
 
+// takeToken takes a token in the way in which the team is limited.
+func (n *Node) takeToken(ctx context.Context, g access.Grant) (retry time.Duration, ok bool) {
+	if n.delegates.limits(g.Team.Name) {
+		return n.delegates.takeToken(ctx, g.Team.Name, g.Route.Priority, g.Route.TargetLatency/tokenWaitShare)
+	}
+	return n.limits.takeToken(ctx, g.Team.Name, g.Route.TargetLatency/2)
+}
+
 // tokenWaiter is an operation that waits for a grant of the owner or for a loan.
 type tokenWaiter struct {
 	ticket  uint64 // of the quota holder; 0 if the owner is not asked
--- a/io/node/lockorder_test.go
+++ b/io/node/lockorder_test.go
@@ -11,6 +11,7 @@
 	"burdockseam/core/access"
 	"burdockseam/core/call"
 	"burdockseam/core/failover"
+	"burdockseam/core/quota"
 	"burdockseam/core/wal"
 	"burdockseam/io/caller"
 	"burdockseam/io/gateway"
@@ -18,7 +19,7 @@
 
 // lockOrder has the locks that may be taken while a lock is held, by the name of that lock.
 var lockOrder = map[string][]string{
-	"build":  {"node", "primaries", "limits", "tables"},
+	"build":  {"node", "primaries", "limits", "delegates", "tables"},
 	"limits": {"node", "tables"},
 }
 
@@ -34,7 +35,7 @@
 	n.activeSettings.Store(&settings)
 	n.platform.Controls, n.platform.Dialer, n.platform.Store = deadUpstreams{}, deadUpstreams{}, listStore{objects: nil}
 	n.gateways = gateway.New(deadUpstreams{}, n.metrics, n.log, n.now)
-	locks := map[string]*sync.Mutex{"node": &n.mu, "primaries": &n.primaries.mu, "limits": &n.limits.mu, "tables": &n.tables.mu, "build": &n.buildMu}
+	locks := map[string]*sync.Mutex{"node": &n.mu, "primaries": &n.primaries.mu, "limits": &n.limits.mu, "tables": &n.tables.mu, "delegates": &n.delegates.mu, "build": &n.buildMu}
 	for waited, lock := range locks {
 		for what, work := range lockingWork(n) {
 			for _, held := range locksHeld(locks, lock, work) {
@@ -139,6 +140,9 @@
 		"closing idle gateways":        func() { n.gateways.CloseIdle(n.isPreferredGateway) },
 		"admitting an operation":       func() { n.isolated() },
 		"taking a token":               func() { n.limits.takeToken(ctx, "team", 0) },
+		"taking a delegated token":     func() { n.delegates.takeToken(ctx, "team", 0, 0) },
+		"delegating a part":            func() { n.delegates.step() },
+		"granting as a collector":      func() { _ = service.Grant(quota.Request{}, &QuotaReply{}) },
 		"renewing the lease":           func() { n.limits.holderToWatch() },
 		"configuring the limits":       func() { n.limits.configure(n.snapshot.Load()) },
 		"reading gauges":               func() { n.suspectCount() },
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,6 +87,7 @@
 	peerServer *peer.Server
 	callers    *caller.Server
 	limits     *limits
+	delegates  *delegates
 	primaries  *primaries
 	ready      atomic.Bool
 	draining   atomic.Bool
@@ -136,6 +137,7 @@
 	n.tables.onChange = n.tableChanged
 	n.tables.refreshPlan = n.refreshPlan
 	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
+	n.delegates = newDelegates(n)
 	n.limits = newLimits(n)
 	n.primaries = newPrimaries(n)
 	config := peer.Config{Addr: s.Peer, MaxInFlight: maxPeerCalls, Metrics: n.metrics.set}
@@ -189,6 +191,7 @@
 	g.Go(func() error { n.runPings(base); return nil })
 	g.Go(func() error { n.runContactChecks(base); return nil })
 	g.Go(func() error { n.limits.run(base); return nil })
+	g.Go(func() error { n.delegates.run(base); return nil })
 	g.Go(func() error { n.primaries.run(base); return nil })
 	g.Go(func() error {
 		select {
@@ -299,7 +302,7 @@
 
 // ownMember returns the content of the instance's object.
 func (n *Node) ownMember(leaving bool) member {
-	return member{ID: n.self.ID, Address: n.self.Address, Domain: n.self.Domain, Leaving: leaving}
+	return member{ID: n.self.ID, Address: n.self.Address, Domain: n.self.Domain, Leaving: leaving, Delegates: true}
 }
 
 // markReady reports the instance as ready, once.
--- a/io/node/shutdown.go
+++ b/io/node/shutdown.go
@@ -43,6 +43,7 @@
 	}
 	n.callers.Drain()
 	n.limits.close()
+	n.delegates.close()
 	for n.now().Before(plan.End) {
 		if open, _ = n.callers.Sessions(); open == 0 && n.gateways.OpenWork() == 0 {
 			break
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -52,6 +52,8 @@
 	// instances that are leaving and may still run.
 	instances        []placement.Instance
 	runningInstances int
+	// delegates is set if all known instances support limits by delegated parts.
+	delegates bool
 	// ranks caches the order in which instances are preferred for a key.
 	ranks *placement.RankCache
 	// objectNames are the names of the instances' objects, by address.
@@ -84,6 +86,8 @@
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
 	Leaving bool   `json:"leaving"`
+	// Delegates is set if the build supports limits by delegated parts.
+	Delegates bool `json:"delegates"`
 }
 
 // buildSnapshot builds a snapshot from the tables. If a policy can't be decoded, the
@@ -183,6 +187,7 @@
 
 // buildInstances adds the instances to a snapshot. The own instance is always among them.
 func (n *Node) buildInstances(s *snapshot) {
+	s.delegates = true
 	for _, o := range n.tables.get(KindInstance).Objects {
 		var m member
 		if err := json.Unmarshal(o.Data, &m); err != nil || m.Address == "" {
@@ -190,6 +195,7 @@
 			continue
 		}
 		s.runningInstances++
+		s.delegates = s.delegates && m.Delegates
 		s.objectNames[m.Address] = o.Name
 		if !m.Leaving {
 			s.instances = append(s.instances, placement.Instance{
--- a/io/node/wire_test.go
+++ b/io/node/wire_test.go
@@ -16,7 +16,7 @@
 func TestStoredObjects(t *testing.T) {
 	golden.JSON(
 		t, "testdata/stored-objects.golden",
-		golden.Value{Name: "member", Value: member{ID: "n1-5", Address: "10.0.0.1:7000", Domain: "a", Leaving: true}},
+		golden.Value{Name: "member", Value: member{ID: "n1-5", Address: "10.0.0.1:7000", Domain: "a", Leaving: true, Delegates: true}},
 		golden.Value{Name: "token", Value: token{Token: 12, Holder: "n1-5", Address: "10.0.0.1:7000", Nonce: 3}},
 		golden.Value{Name: "orderedtoken", Value: token{Token: 12, Holder: "n1-5", Address: "10.0.0.1:7000", Nonce: 3, Target: "u1", Ordered: 11}},
 	)
