node: Reports the usage of each window where the settings enable it

Cause: the platform of some deployments takes a report of each team's requests per window.

Change: io/node/usage.go holds the state of core/usage under a lock of its own, pushes the counts (Node.Usage), keeps the record in the store (kind usage, one object per era) and calls the platform by platform/usage.go (POST /usage). A gateway tells its Meter of each statement that it sends. The section [usage] of the settings enables all of it; without the key window there is no state, no message and no call.

Tested: go test ./core/usage ./io/node ./io/gateway ./io/ctl ./cmd/burdockctl.

--- a/cmd/burdockctl/arguments.go
+++ b/cmd/burdockctl/arguments.go
@@ -34,6 +34,7 @@
 	Upstream *upstreamCommand `arg:"subcommand:upstream" help:"let an upstream leave or return"`
 	Group    *groupCommand    `arg:"subcommand:group" help:"change a group's primary"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"find the cause of a failed request in log files"`
+	Usage    *usageCommand    `arg:"subcommand:usage" help:"show the last windows of the usage reports"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of all instances"`
 
 	Config   string        `arg:"--config,env:BURDOCKCTL_CONFIG" placeholder:"FILE" help:"settings file (INI) with store, operator, secret, author, timeout"`
@@ -144,6 +145,10 @@
 
 type statusCommand struct{}
 
+type usageCommand struct {
+	Count int `arg:"-n" default:"12" placeholder:"COUNT" help:"number of windows"`
+}
+
 // waitOption is the option of the commands that change the configuration.
 type waitOption struct {
 	Wait bool `arg:"--wait" help:"wait until every live instance reports the change"`
--- a/cmd/burdockctl/commands.go
+++ b/cmd/burdockctl/commands.go
@@ -270,6 +270,14 @@
 	})
 }
 
+func (c *usageCommand) run(inv *invocation) error {
+	r, err := inv.client.Usage(inv.ctx, c.Count)
+	if err != nil {
+		return err
+	}
+	return inv.printValue(r, func(w io.Writer) error { return ctl.PrintUsage(w, r) })
+}
+
 func (*statusCommand) run(inv *invocation) error {
 	f, err := inv.client.Status(inv.ctx)
 	if err != nil {
--- a/io/ctl/stored_test.go
+++ b/io/ctl/stored_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"burdockseam/core/golden"
+	"burdockseam/core/usage"
 	"burdockseam/io/instance"
 )
 
@@ -18,5 +20,11 @@
 		golden.Value{Name: "fleet", Value: FleetStatus{Head: 7, Store: "no answer", Instances: []InstanceReport{{
 			MemberContact: instance.MemberContact{Member: instance.Member{Address: "10.0.0.1:7000", Domain: "a", State: "live"}, Name: "n1"},
 		}}}},
+		golden.Value{Name: "usage", Value: UsageReport{
+			Windows: []usage.Summary{{
+				Window: 8, End: time.Unix(45, 0).UTC(), Requests: 2, Teams: 1, From: 4, Lacking: 1, Holder: "n1", Token: 12, Outcome: usage.Accepted, After: 1.5,
+			}},
+			Errors: map[string]string{"10.0.0.1:7002": "no answer"},
+		}},
 	)
 }
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -62,7 +62,10 @@
 const busyRetryInterval = 10 * time.Millisecond
 
 // runStatement sends the caller's statement and processes the answer.
-func (g *Gateway) runStatement(c *pooledConn, id uint64, r call.Request, deadline time.Time, p leadershipProof) call.Reply {
+func (g *Gateway) runStatement(c *pooledConn, id uint64, r call.Request, deadline time.Time, p leadershipProof) (reply call.Reply) {
+	if m := g.gateways.Meter; m != nil {
+		defer m.Sent(r)(&reply)
+	}
 	s := r.Statement
 	primaryOnly := c.transaction == call.OpenWrite || c.transaction == call.OpenFence
 	wrote := c.wrote
@@ -96,7 +99,7 @@
 	if a.Code == call.OK && (primaryOnly && (s.Kind != call.Commit || wrote) || s.IsWrite()) {
 		p.add(began, a.Position)
 	}
-	reply := call.Reply{Answer: a, Ran: ranFromCode(a.Code), Sample: p.sample()}
+	reply = call.Reply{Answer: a, Ran: ranFromCode(a.Code), Sample: p.sample()}
 	if primaryOnly && r.Open == call.OpenFence && c.transaction != call.OpenNone {
 		// The answer is final, so it need not wait for the rollback of the gateway's own
 		// transaction.
--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -15,6 +15,9 @@
 // Gateways holds the gateways of one instance, one for each upstream for which the
 // instance has received requests. Its methods may be called concurrently.
 type Gateways struct {
+	// Meter, if set before the first request, is told of each statement that is sent.
+	Meter Meter
+
 	dialer   Dialer
 	observer Observer
 	log      logr.Logger
@@ -32,6 +35,13 @@
 	Answered(time.Duration)
 }
 
+// Meter counts the statements that are sent to upstreams.
+type Meter interface {
+	// Sent is called just before a caller's statement is sent, and the returned function
+	// with the final reply.
+	Sent(r call.Request) func(*call.Reply)
+}
+
 // Usage counts the statements and connections of all gateways of an instance.
 type Usage struct{ Queued, Running, Connections int }
 
--- a/io/node/lockorder_test.go
+++ b/io/node/lockorder_test.go
@@ -11,6 +11,7 @@
 	"burdockseam/core/access"
 	"burdockseam/core/call"
 	"burdockseam/core/failover"
+	"burdockseam/core/usage"
 	"burdockseam/core/wal"
 	"burdockseam/io/caller"
 	"burdockseam/io/gateway"
@@ -31,10 +32,13 @@
 	n.ready.Store(true)
 	settings := *n.settings()
 	settings.ApplyTimeout, settings.EvacuateTimeout, settings.LeaveTimeout = time.Second, time.Second, time.Second
+	settings.Usage = UsageSettings{Window: time.Second, Delay: 2 * time.Second, Lease: time.Second}
 	n.activeSettings.Store(&settings)
 	n.platform.Controls, n.platform.Dialer, n.platform.Store = deadUpstreams{}, deadUpstreams{}, listStore{objects: nil}
 	n.gateways = gateway.New(deadUpstreams{}, n.metrics, n.log, n.now)
-	locks := map[string]*sync.Mutex{"node": &n.mu, "primaries": &n.primaries.mu, "limits": &n.limits.mu, "tables": &n.tables.mu, "build": &n.buildMu}
+	n.usage = newUsageReports(n)
+	n.gateways.Meter = n.usage
+	locks := map[string]*sync.Mutex{"node": &n.mu, "primaries": &n.primaries.mu, "limits": &n.limits.mu, "tables": &n.tables.mu, "usage": &n.usage.mu, "build": &n.buildMu}
 	for waited, lock := range locks {
 		for what, work := range lockingWork(n) {
 			for _, held := range locksHeld(locks, lock, work) {
@@ -146,6 +150,9 @@
 		"listing lost instances":       func() { n.objectsOfLostInstances(n.snapshot.Load()) },
 		"choosing witnesses":           func() { n.primaries.chooseWitnesses("g0") },
 		"listing recent promotions":    func() { n.primaries.recentPromotions() },
+		"counting a request":           func() { n.usage.Sent(call.Request{Team: "team"})(&call.Reply{Ran: call.RanNo}) },
+		"taking over counts":           func() { _ = service.Usage(usage.Push{Run: "0", Seq: 1}, &usage.Ack{}) },
+		"a step of the usage reports":  func() { n.usage.step(ctx) },
 		"checking an open transaction": func() { n.mustEndTransactions(u, now) },
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"burdockseam/core/failover"
 	"burdockseam/core/placement"
 	"burdockseam/core/shutdown"
+	"burdockseam/core/usage"
 	"burdockseam/core/wal"
 	"burdockseam/io/boottime"
 	"burdockseam/io/caller"
@@ -56,6 +57,13 @@
 	RaiseToken(ctx context.Context, group, holder string, token uint64) error
 }
 
+// Reporter sends usage reports to the platform.
+type Reporter interface {
+	// Report sends the counts of a window under the holder's fencing token. The error explains
+	// an outcome other than usage.Accepted.
+	Report(ctx context.Context, holder string, token, window uint64, counts usage.Counts) (usage.Outcome, error)
+}
+
 // Platform holds the dependencies that the platform's adapter supplies.
 type Platform struct {
 	Store    Store
@@ -63,6 +71,7 @@
 	Dialer   gateway.Dialer
 	Controls Controls
 	Promoter Promoter
+	Reporter Reporter
 	Protocol func(net.Conn) caller.Protocol
 }
 
@@ -87,6 +96,7 @@
 	peerServer *peer.Server
 	callers    *caller.Server
 	limits     *limits
+	usage      *usageReports // nil without usage reports
 	primaries  *primaries
 	ready      atomic.Bool
 	draining   atomic.Bool
@@ -137,6 +147,10 @@
 	n.tables.refreshPlan = n.refreshPlan
 	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
 	n.limits = newLimits(n)
+	if s.Usage.Window > 0 {
+		n.usage = newUsageReports(n)
+		n.gateways.Meter = n.usage
+	}
 	n.primaries = newPrimaries(n)
 	config := peer.Config{Addr: s.Peer, MaxInFlight: maxPeerCalls, Metrics: n.metrics.set}
 	n.peers = peer.NewPool(config)
@@ -190,6 +204,9 @@
 	g.Go(func() error { n.runContactChecks(base); return nil })
 	g.Go(func() error { n.limits.run(base); return nil })
 	g.Go(func() error { n.primaries.run(base); return nil })
+	if n.usage != nil {
+		g.Go(func() error { n.usage.run(base); return nil })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -336,8 +353,8 @@
 }
 
 // Reload reads the settings file again and applies the limits and the regions. The name, the
-// failure domain, the addresses, the seeds and the bound on callers keep their values from
-// the start of the process. If the file has errors, the settings stay as they are.
+// failure domain, the addresses, the seeds, the bound on callers and the usage reports keep
+// their values from the start of the process. If the file has errors, the settings stay as they are.
 func (n *Node) Reload(path string) {
 	s, err := ReadSettings(path)
 	if err != nil {
@@ -346,10 +363,11 @@
 	}
 	before := n.settings()
 	ignored := s.Name != before.Name || s.Domain != before.Domain || s.Listen != before.Listen || s.Peer != before.Peer ||
-		s.Advertise != before.Advertise || s.Operator != before.Operator || s.Store != before.Store || s.Promoter != before.Promoter || s.Unfenced != before.Unfenced
+		s.Advertise != before.Advertise || s.Operator != before.Operator || s.Store != before.Store || s.Promoter != before.Promoter || s.Unfenced != before.Unfenced || s.Usage != before.Usage
 	s.Name, s.Domain, s.Listen, s.Operator = before.Name, before.Domain, before.Listen, before.Operator
 	s.Peer, s.Advertise = before.Peer, before.Advertise
 	s.Store, s.Promoter, s.Unfenced, s.Seeds, s.MaxCallers = before.Store, before.Promoter, before.Unfenced, before.Seeds, before.MaxCallers
+	s.Usage = before.Usage
 	n.activeSettings.Store(&s)
 	n.tableChanged(KindInstance)
 	n.log.Info("settings: reloaded", "ignored", ignored)
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -13,6 +13,7 @@
 	"burdockseam/core/lease"
 	"burdockseam/core/placement"
 	"burdockseam/core/quota"
+	"burdockseam/core/usage"
 	"burdockseam/core/wal"
 	"burdockseam/io/peer"
 )
@@ -266,6 +267,14 @@
 	return nil
 }
 
+// Usage takes over the counts of another instance.
+func (s *service) Usage(p usage.Push, reply *usage.Ack) error {
+	if s.n.usage != nil {
+		*reply = s.n.usage.handlePush(p)
+	}
+	return nil
+}
+
 // Quota grants tokens of the limits.
 func (s *service) Quota(r quota.Request, reply *QuotaReply) error {
 	reply.Reply, reply.Known = s.n.limits.handleRequest(r)
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"burdockseam/core/usage"
 )
 
 // operatorReadTimeout bounds the reading of a request on the operators' port.
@@ -68,7 +71,12 @@
 // stopped.
 var errInstanceStopped = errors.New("the instance has stopped")
 
-// operatorHandler serves the readiness probe and the metrics.
+// operatorStatus is what /status shows.
+type operatorStatus struct {
+	Usage usage.Status `json:"usage"`
+}
+
+// operatorHandler serves the readiness probe, the metrics and, with usage reports, the status.
 func (n *Node) operatorHandler(probe string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+probe, func(w http.ResponseWriter, _ *http.Request) {
@@ -77,5 +85,13 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
+	if n.usage != nil {
+		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			if err := json.NewEncoder(w).Encode(operatorStatus{usage.Status{Windows: n.usage.windows()}}); err != nil {
+				n.log.Info("operator: status not sent", "err", err.Error())
+			}
+		})
+	}
 	return mux
 }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -57,11 +57,23 @@
 	LeaveTimeout, EvacuateTimeout time.Duration
 	// BurstAllowance is the number of requests by which a team may exceed its burst.
 	BurstAllowance float64
+	// Usage configures the reports of usage. There are none if its Window is 0.
+	Usage UsageSettings
 	// Adaptive is set if the deployment's contracts cover the health of upstreams. Routing and
 	// the concurrency at an upstream then follow from how the upstream answers.
 	Adaptive bool
 }
 
+// UsageSettings are the bounds of the usage reports.
+type UsageSettings struct {
+	// Window is the length of a window, Delay the time after a window's end by which its
+	// report must be sent, and Lease the time for which an instance may report after it has
+	// renewed its record in the store.
+	Window, Delay, Lease time.Duration
+	// Off is the share by which a reported number may differ from the true one.
+	Off float64
+}
+
 // reservedDescriptors is the number of file descriptors that callers may not use: they are
 // kept for files, upstreams, peers and the store.
 const reservedDescriptors = 700
@@ -75,6 +87,11 @@
 	// defaultEvacuateTimeout is long, since no deployment relies on it. Watches deliver an
 	// evacuation at once; the bound only limits how long a silent watch goes unnoticed.
 	defaultEvacuateTimeout = time.Minute
+	// defaultUsageDelay, defaultUsageLease and defaultUsageOff are the bounds of the deployments
+	// that have usage reports.
+	defaultUsageDelay = 10 * time.Second
+	defaultUsageLease = 3 * time.Second
+	defaultUsageOff   = 0.05
 )
 
 // healthContract is the entry of the key contracts that sets Settings.Adaptive.
@@ -106,6 +123,9 @@
 		Regions:         make(map[string]string),
 	}
 	s.Adaptive = slices.Contains(r.list("instance", "contracts"), healthContract)
+	if r.has("usage", "window") {
+		s.Usage = r.usage()
+	}
 	if r.has("limits", "spare") {
 		s.BurstAllowance = float64(r.number("limits", "spare", 0, 1<<20))
 	}
@@ -165,6 +185,25 @@
 	return r.duration("limits", key, least, time.Hour)
 }
 
+// usage returns the settings of the usage reports.
+func (r *settingsReader) usage() UsageSettings {
+	u := UsageSettings{Window: r.duration("usage", "window", time.Second, time.Hour), Delay: defaultUsageDelay, Lease: defaultUsageLease, Off: defaultUsageOff}
+	if r.has("usage", "delay") {
+		u.Delay = r.duration("usage", "delay", time.Second, time.Hour)
+	}
+	if r.has("usage", "lease") {
+		u.Lease = r.duration("usage", "lease", 500*time.Millisecond, time.Hour)
+	}
+	if r.has("usage", "off") {
+		off, err := r.file.Section("usage").Key("off").Float64()
+		if err != nil || off < 0 || off > 1 {
+			r.addError("usage", "off", "not a number from 0 to 1")
+		}
+		u.Off = off
+	}
+	return u
+}
+
 // text returns the value of a required key.
 func (r *settingsReader) text(section, key string) string {
 	value := r.file.Section(section).Key(key).String()
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -98,6 +98,7 @@
 	KindInstance  Kind = "instance"  // instances of the fleet
 	KindLease     Kind = "lease"     // the lease of the limits
 	KindPromotion Kind = "promotion" // fencing tokens of promotions, by group
+	KindUsage     Kind = "usage"     // record of the usage reports, by era
 )
 
 // mirroredKinds are the kinds of which each instance keeps a table.
