--- a/io/node/shutdown.go
+++ b/io/node/shutdown.go
@@ -50,6 +50,9 @@
 		sleep(ctx, drainPollInterval)
 		n.gateways.TrimIdle()
 	}
+	if n.usage != nil {
+		n.usage.flush(ctx)
+	}
 	open, active = n.callers.Sessions()
 	n.log.Info("shutdown: drained", "cut", open, "transactions", active, "upstreams", n.gateways.OpenWork(), "took", n.now().Sub(began))
 }
--- a/io/node/usage.go
+++ b/io/node/usage.go
@@ -30,6 +30,9 @@
 	usageInterval = 100 * time.Millisecond
 	// reportTimeout bounds a call of the platform.
 	reportTimeout = 2 * time.Second
+	// flushTimeout bounds the last push. It is below the time that is left for the exit of the
+	// process after a shutdown.
+	flushTimeout = exitReserve / 2
 	// holderNewsTimeout is the time for which an answer that names the holder counts: a few
 	// pushes.
 	holderNewsTimeout = 3 * time.Second
@@ -163,7 +166,7 @@
 	draining := u.n.draining.Load()
 	u.n.mu.Lock()
 	defer u.n.mu.Unlock()
-	if h.address != "" && now.Sub(h.at) < holderNewsTimeout && !u.n.isUnavailable(h.address, now) {
+	if h.address != "" && (h.address != u.n.self.Address || !draining) && now.Sub(h.at) < holderNewsTimeout && !u.n.isUnavailable(h.address, now) {
 		return h.address
 	}
 	for _, i := range order {
@@ -218,6 +221,15 @@
 	}
 }
 
+// flush pushes the last counts before the end of the instance.
+func (u *usageReports) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if target := u.target(); target != u.n.self.Address {
+		u.push(ctx, target)
+	}
+}
+
 // recordFailedPush records that an instance did not take a push. An error that it returned comes
 // from a build without usage reports, and does not show that the instance is lost.
 func (u *usageReports) recordFailedPush(target string, err error) {
