--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -16,6 +16,9 @@
 // Gateways holds the gateways of one instance, one for each upstream for which the
 // instance has received requests. Its methods may be called concurrently.
 type Gateways struct {
+	// Meter, if set before the first request, is told of each statement that is sent.
+	Meter Meter
+
 	dialer   Dialer
 	observer Observer
 	log      logr.Logger
@@ -44,6 +47,13 @@
 // number of upstreams below their full pace.
 type Usage struct{ Queued, Running, Connections, Pace, Below int }
 
+// Meter counts the statements that are sent to upstreams.
+type Meter interface {
+	// Sent is called just before a caller's statement is sent, and the returned function
+	// with the final reply.
+	Sent(r call.Request) func(*call.Reply)
+}
+
 // New returns Gateways without any gateway. Run creates gateways on demand.
 func New(d Dialer, o Observer, log logr.Logger, now func() time.Time) *Gateways {
 	return &Gateways{dialer: d, observer: o, log: log, now: now, wall: time.Now, byUpstream: make(map[string]*Gateway)}
--- a/io/gateway/refuse_test.go
+++ b/io/gateway/refuse_test.go
@@ -45,7 +45,9 @@
 	blocked.Add(2)
 	for range 2 {
 		r := newRequest("", "long", call.Read)
-		r.Slots = 1
+		// Of another team: a long statement of the same team would make it owe slot time to
+		// its less urgent priorities, on a slow machine for long enough to change the order.
+		r.Slots, r.Team = 1, "b"
 		start(r)
 	}
 	blocked.Wait()
