node: A gateway passes a commit on only with contact when it is acknowledged

Cause: a primary that is cut off together with its new replacement gets its commits acknowledged by that replica, which the coordinator outside does not know. The gateway asked for contact to most of the fleet before it sent a statement, and after it only for reads.

Ruled out: mayDropCommit, since the promotion is not heard of inside; hadContact, which still holds when a replacement starts 1.5 s after the cut; another list before the order, since the replacement's entry does not reach the store.

Change: on a platform without fencing, the acknowledgement of a commit needs answers to pings of the last 0.65 s from most of the fleet. If they are older, or the commit took 0.25 s or more, the gateway asks the fleet in a round that waiting commits share. Without a majority the caller gets InDoubt. Instances that rely on the store because most of the fleet may be lost pass commits as before.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -106,6 +106,7 @@
 	watchedGateways   []placement.Instance      // those that this instance pings as a watcher of a large fleet
 	contactAt         atomic.Pointer[time.Time] // last contact with most of the fleet, its own or a watcher's; nil before the first
 	majorityAt        atomic.Pointer[time.Time] // last own contact with most of the fleet; nil before the first
+	contact           contactRounds
 	storeContactAt    atomic.Pointer[time.Time] // last reading of the registry without contact; nil before the first
 	incarnations      map[string]int64
 	ineligibleSince   map[string]time.Time // since when an upstream takes no new work, by name
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -195,7 +195,7 @@
 	if needsPrimary && !n.mayUsePrimaries() {
 		return call.Refusal(call.Unreachable, "the gateway hears from too few others")
 	}
-	reply := n.primaries.rejectOutdated(r, n.gateways.Run(ctx, r))
+	reply := n.confirmCommit(ctx, r, n.primaries.rejectOutdated(r, n.gateways.Run(ctx, r)))
 	if r.Open == call.OpenFence && reply.Code == call.OK && (n.primaries.isSuperseded(r.Group, r.Upstream) || !n.mayUsePrimaries()) {
 		return call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.Aborted, Text: "another upstream was promoted during the read"}}
 	}
