node: TestClaimThatIsNotReached covers relayed and repeated probes of claims

Cause: the probes of a claiming upstream by its gateways, and those that are repeated while it does not answer, had no test.

Change: a test for each; without the relay and without the repetition they fail.

Tested: go test ./io/node, and the tests of claims with -race.

--- a/io/node/claims_test.go
+++ b/io/node/claims_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 // each. Other upstreams are replicas, and an upstream of term 0 does not answer.
 type fakeRoles struct {
 	Controls
+	mu     sync.Mutex
 	leads  map[string]uint64
 	probes atomic.Int32
 	pauses atomic.Int32
@@ -29,6 +32,8 @@
 
 func (f *fakeRoles) IsPrimary(_ context.Context, t failover.ControlTarget) (bool, wal.Position, error) {
 	f.probes.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	term, ok := f.leads[t.Upstream]
 	if ok && term == 0 {
 		return false, wal.Position{}, errors.New("no answer")
@@ -36,6 +41,13 @@
 	return ok, wal.Position{Term: term, Offset: 5}, nil
 }
 
+// set makes an upstream lead by its own account.
+func (f *fakeRoles) set(upstream string, term uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leads[upstream] = term
+}
+
 // newClaimNode returns an instance with one group of three upstreams, of which the given ones
 // claim to be the primary, and the way to change the claims.
 func newClaimNode(t *testing.T, roles *fakeRoles, unfenced bool) (n *Node, claim func(names ...string)) {
@@ -144,6 +156,49 @@
 	}
 }
 
+// TestClaimThatIsNotReached guards against a group whose primary an instance never learns, because
+// the instance does not reach the upstream or the upstream answers only later.
+func TestClaimThatIsNotReached(t *testing.T) {
+	setup := func(t *testing.T, roles *fakeRoles) (n *Node, claim func(names ...string)) {
+		t.Helper()
+		n, claim = newClaimNode(t, roles, false)
+		claim()
+		now := n.now()
+		n.primaries.recordProof("g0", "u1", now, wal.Position{Term: 2}, now, false)
+		return n, claim
+	}
+	t.Run("a gateway reaches it", func(t *testing.T) {
+		roles := &fakeRoles{leads: map[string]uint64{"u2": 0}}
+		n, claim := setup(t, roles)
+		other, address := newServingNode(t)
+		other.platform.Controls = &fakeRoles{leads: map[string]uint64{"u2": 3}}
+		other.tables.install(n.tables.get(KindPolicy))
+		data := fmt.Appendf(nil, `{"id":"b","address":%q,"domain":"d1"}`, address)
+		n.tables.install(Table{Kind: KindInstance, Revision: 1, Objects: map[string]Object{"b": {Name: "b", Revision: 1, Data: data}}})
+		claim("u2")
+		expectPrimary(t, n, roles, true, "u2")
+	})
+	t.Run("it answers later", func(t *testing.T) {
+		roles := &fakeRoles{leads: map[string]uint64{"u2": 0}}
+		n, claim := setup(t, roles)
+		claim("u2")
+		unknown := func() bool {
+			n.primaries.mu.Lock()
+			defer n.primaries.mu.Unlock()
+			return n.primaries.group("g0").claimsUnknown
+		}
+		for !unknown() {
+			time.Sleep(time.Millisecond)
+		}
+		expectPrimary(t, n, roles, true, "u1")
+		roles.set("u2", 3)
+		for end := time.Now().Add(2 * minClaimInterval); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			n.primaries.stepGroup(t.Context(), "g0")
+		}
+		expectPrimary(t, n, roles, true, "u2")
+	})
+}
+
 // TestEvidenceOfEndedTerm guards against an upstream that is taken for the primary, and whose
 // rows reach a caller, because it accepted a statement at a term that has ended.
 func TestEvidenceOfEndedTerm(t *testing.T) {
