--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -30,8 +30,9 @@
 //   - A paused replica is never told to resume, since another instance may have paused it
 //     for its own choice of a target. Only a promotion lets the replica receive again, so
 //     a change that has paused a replica is carried through, even if the old primary is
-//     back. To make that rare, all replicas must be reached before the first is paused. A
-//     recorded promotion then orders the old primary itself (recorded.go).
+//     back. To make that rare, all replicas must be reached before the first is paused. An
+//     order for the old primary itself would not help: the platform answers it and changes
+//     nothing, so the replicas would stay paused.
 //
 // An OrderedPromotion is used by one goroutine at a time. It has no clock: results and
 // Tick carry the time.
@@ -150,7 +151,6 @@
 	unansweredAt    time.Time // time of this instance's last order without an answer
 	noContact       bool      // this instance hears from too few others
 	pausing         bool      // the change has sent a pause
-	primaryBack     bool      // the old primary was proven after a pause was sent
 	ordersSent      int       // orders of the change that may have been sent
 	undemoted       string    // former primary that was not reached before its successor was ordered
 	nextDemote      time.Time // earliest time of the next attempt to demote it
@@ -200,7 +200,7 @@
 		return false // the unanswered order would undo this change
 	}
 	c.planned, c.reason, c.target, c.orderRefused = planned, reason, "", false
-	c.pausing, c.primaryBack, c.ordersSent = false, false, 0
+	c.pausing, c.ordersSent = false, 0
 	for i := range c.vanished {
 		c.vanished[i].before = true
 	}
@@ -236,17 +236,19 @@
 // HandlePrimaryConfirmed records that an upstream was proven to be the primary at a time, or was
 // promoted by another instance. A change in PhaseSurvey, which has paused no replica yet, is
 // given up, unless it is a switchover away from that upstream. In PhasePause and PhaseList,
-// the replicas are paused again if the primary is another one than before, and the change may
-// be reconsidered if it is the same.
+// the replicas are paused again if the primary is another one than before. If it is the same,
+// the change ends unless it has sent a pause.
 func (c *OrderedPromotion) HandlePrimaryConfirmed(now, at time.Time, primary string) {
 	switch {
 	case c.phase == PhaseSurvey && (!c.planned || primary != c.primary):
 		c.setPrimary(now, primary)
-		if c.primaryBack = c.pausing; !c.pausing {
+		if !c.pausing {
 			c.enterPhase(now, PhaseIdle)
 		}
 	case (c.phase == PhasePause || c.phase == PhaseList) && primary == c.primary:
-		c.reconsider(now, at)
+		if c.mayEnd(now, at) {
+			c.enterPhase(now, PhaseIdle)
+		}
 	case (c.phase == PhasePause || c.phase == PhaseList) && primary != c.primary:
 		// The promotion of this upstream has ended the pauses.
 		c.setPrimary(now, primary)
@@ -337,9 +339,6 @@
 	switch {
 	case allReached && c.mustWaitForKept(now, lacking):
 	case allReached && (c.noContact || c.mustWaitForVanished(now)):
-	case allReached && c.clear(now) && c.mayKeepPrimary(now):
-		c.target, c.keptPosition = c.primary, wal.Position{}
-		c.enterPhase(now, PhaseOrder)
 	case allReached && c.clear(now) && c.planned:
 		c.heldUpstream = c.primary
 		c.enterPhase(now, PhaseHold)
