quota: Tokens by priority, refusals at once and spread retry hints

The most urgent kind of request was served worst, since limits did not know priorities, and refused callers all returned after 100 ms.

Wants carry the tokens by priority. Collectors reserve what more urgent classes need and lend without regard to less urgent ones; the least urgent class that asks gets a tenth of the refill. A request that the pace of its collector does not serve in time is refused at once, and retry hints of a holder follow each other at that pace, with 2 s at most.

Tested: go test ./core/quota ./io/node; TestCollectorLoad compares six loads with one central bucket, by kind; TestDelegatedLimits.

--- a/core/quota/classes.go
+++ b/core/quota/classes.go
@@ -19,6 +19,13 @@
 	// reserveTime is the time of the demand of more urgent classes for which tokens are
 	// reserved.
 	reserveTime = 500 * time.Millisecond
+	// smallBucket is the bucket, in tokens, below which tokens are reserved only for a while
+	// after some were lacking in all failure domains. A reserve of whole tokens in such buckets
+	// would make less urgent requests borrow all the time.
+	smallBucket = 4
+	// tinyBucket is the bucket, in tokens, below which nothing is reserved. Urgent requests
+	// borrow from collectors whose own requests are less urgent.
+	tinyBucket = 2
 	// leastShare is the part of the refill that the least urgent class gets at least.
 	leastShare = 0.1
 )
@@ -83,6 +90,9 @@
 // reserved returns the number of tokens that requests of a class must leave for more urgent
 // ones.
 func (a *account) reserved(now time.Time, class int) float64 {
+	if a.burst < tinyBucket || a.burst < smallBucket && now.Sub(a.scarceAt) >= classLifetime {
+		return 0
+	}
 	a.decayDemand(now)
 	need := 0.0
 	for urgent := range class {
--- a/core/quota/collector.go
+++ b/core/quota/collector.go
@@ -41,7 +41,8 @@
 	run, self string
 	start     time.Time
 	parts     map[string]delegatedPart // by address of the delegating instance
-	sum       float64                  // of the parts in force, as of the last step
+	spare     float64
+	sum       float64 // of the parts in force, as of the last step
 	steppedAt time.Time
 	accounts  map[string]*account
 	holders   map[string]*seenRequests
@@ -87,7 +88,9 @@
 	seenAt      [Classes]time.Time // when the class was last wanted
 	granted     float64            // tokens granted in a second, as of demandAt
 	least       float64            // tokens that the least urgent class may take from the reserved ones
+	lackedAt    time.Time          // when the least urgent class last lacked tokens
 	lenders     map[string]lenderState
+	scarceAt    time.Time // when tokens were last lacking and others lent none
 }
 
 // hold is a number of own tokens that were granted to a holder, or transferred to another
@@ -116,9 +119,11 @@
 }
 
 // Configure sets the teams, with their whole rate and burst. The bucket of a new team starts
-// empty.
-func (c *Collector) Configure(now time.Time, teams map[string]config.Team) {
+// empty. spare is the number of tokens by which all collectors together may exceed a small
+// burst, so that each of them can hold some whole tokens.
+func (c *Collector) Configure(now time.Time, teams map[string]config.Team, spare float64) {
 	c.Step(now)
+	c.spare = spare
 	for name, a := range c.accounts {
 		a.advance(now)
 		if _, ok := teams[name]; ok {
@@ -127,7 +132,7 @@
 		if a.whole = (config.Team{}); a.outstanding < tokenError {
 			delete(c.accounts, name)
 		}
-		a.scale(0)
+		a.scale(0, 0)
 	}
 	for name, t := range teams {
 		a := c.accounts[name]
@@ -136,13 +141,16 @@
 			c.accounts[name] = a
 		}
 		a.whole = t
-		a.scale(c.sum)
+		a.scale(c.sum, spare)
 	}
 }
 
 // scale sets the collector's parts of the team. The caller has refilled the bucket.
-func (a *account) scale(sum float64) {
+func (a *account) scale(sum, spare float64) {
 	a.rate, a.burst = a.whole.Rate*sum*(1-maxClockDrift), a.whole.Burst*sum
+	if a.burst < smallBucket {
+		a.burst = min(smallBucket, a.burst+spare*sum)
+	}
 	a.level = max(0, min(a.level, a.burst-a.outstanding))
 }
 
@@ -170,7 +178,7 @@
 				a.refilledTo = now
 			}
 			a.advance(now)
-			a.scale(sum)
+			a.scale(sum, c.spare)
 		}
 		c.sum = sum
 	}
@@ -332,14 +340,16 @@
 	g := Grant{Team: w.Team}
 	wanted := a.wants[holder]
 	total, waiting := a.totalWants(now)
-	barred := 0
+	barred, least := 0, a.leastUrgent(now)
 	for class := range Classes {
 		if wanted.tokens[class] == 0 {
 			continue
 		}
 		free := a.level + a.lent() - float64(g.Tokens) - a.reserved(now, class)
-		if class == a.leastUrgent(now) {
+		if class == least {
 			free = max(free, min(a.least, a.level+a.lent()-float64(g.Tokens)))
+		} else if now.Sub(a.lackedAt) < wantLifetime {
+			free -= a.least
 		}
 		n := 0.0
 		if free+tokenError >= 1 {
@@ -351,12 +361,15 @@
 		}
 		g.Tokens += int(n)
 		wanted.tokens[class] -= int(n)
-		if class == a.leastUrgent(now) {
+		if class == least {
 			a.least = max(0, a.least-n)
 		}
 		if wanted.tokens[class] > 0 && barred == 0 {
 			barred = class + 1
 		}
+		if wanted.tokens[class] > 0 && class == least {
+			a.lackedAt = now
+		}
 	}
 	if g.Tokens > 0 {
 		a.take(now, holder, seq, float64(g.Tokens))
@@ -374,11 +387,13 @@
 	supply := max(a.rate, a.granted, tokenError)
 	need := max(1, float64(left)) - a.level - a.lent()
 	g.Retry = min(max(secondsToDuration(need/supply), minRetry), maxRetry)
+	g.Barred = barred
 	if !a.exhausted(now, lenders) {
 		g.Retry = min(g.Retry, transferRetry)
 		return g
 	}
-	g.Barred, g.Pace = barred, supply/float64(len(a.wants))
+	a.scarceAt = now
+	g.Pace = supply / float64(len(a.wants))
 	g.Backlog = secondsToDuration(min(2*maxBacklog.Seconds(), max(0, float64(waiting)-a.level-a.lent())/supply))
 	return g
 }
--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -119,10 +119,10 @@
 
 // tokensToRequest returns the number of tokens to ask the owner for now.
 func (t *team) tokensToRequest(now time.Time) int {
+	available := float64(t.stock + t.pendingTokens)
 	if now.Before(t.retryAt) {
-		return 0
+		return int(max(0, float64(t.waitingBefore(t.classes.barred-2))-available))
 	}
-	available := float64(t.stock + t.pendingTokens)
 	target, waiting := t.targetStock(), float64(len(t.waiting))
 	if available >= target/2 && available >= waiting {
 		return 0
@@ -164,6 +164,7 @@
 			// Without a confirmation the report is repeated after the same delay.
 			s.reportDelayStart = now
 		}
+		w.Classes = t.tokensByClass(now, w.Tokens)
 		if w.Tokens > 0 || len(w.Reports) > 0 {
 			t.pendingTokens += w.Tokens
 			r.Wants = append(r.Wants, w)
@@ -254,7 +255,7 @@
 		out = append(out, Decision{Outcome: Granted, Ticket: t.waiting[0].ticket})
 		t.waiting = t.waiting[1:]
 	}
-	return out
+	return t.refuseHopeless(now, g, out)
 }
 
 // ReturnSlices returns all slices and refuses the waiting requests, for an instance that
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -124,12 +124,15 @@
 	retryAt       time.Time
 	backlog       time.Duration // as of backlogAt
 	backlogAt     time.Time
+	classes       classState
 }
 
 // waiter is a request that waits for a token.
 type waiter struct {
 	ticket uint64
 	at     time.Time
+	class  int
+	until  time.Time // when the request gives up
 }
 
 // heldSlice is a slice at the holder. A closed slice is kept until the owner has confirmed
@@ -225,22 +228,33 @@
 // request waits for a grant, unless the wait would be longer than maxBacklog. now must be
 // the current time, since a slice that expired during a pause must not be spent.
 func (h *Holder) TakeToken(now time.Time, name string) Decision {
+	return h.TakeTokenFor(now, name, 0, MaxWait)
+}
+
+// TakeTokenFor is TakeToken for a request of a priority that waits for maxWait at most. It is
+// refused at once if the collector can't serve it within that time.
+func (h *Holder) TakeTokenFor(now time.Time, name string, priority int, maxWait time.Duration) Decision {
 	t := h.teams[name]
 	if t == nil {
 		return Decision{Outcome: Refused, Retry: MaxWait}
 	}
 	t.arrivals++
+	class := classOf(priority)
+	t.classes.count(now, class)
 	if len(t.waiting) == 0 && t.spendToken(now) {
 		return Decision{Outcome: Granted, TickNow: t.stock < t.lowStock && t.pendingTokens == 0 && !now.Before(t.retryAt)}
 	}
 	if wait := t.backlog - now.Sub(t.backlogAt); wait >= maxBacklog || len(t.waiting) >= t.maxWaitingRequests() {
 		return Decision{Outcome: Refused, Retry: max(wait, minRetry)}
 	}
+	if t.hopeless(now, class, t.waitingBefore(class)+1, maxWait) {
+		return Decision{Outcome: Refused, Retry: t.retryHint(now)}
+	}
 	h.lastTicket++
-	t.waiting = append(t.waiting, waiter{ticket: h.lastTicket, at: now})
+	t.addWaiter(waiter{ticket: h.lastTicket, at: now, class: class, until: now.Add(maxWait)})
 	return Decision{
 		Outcome: Waiting, Ticket: h.lastTicket,
-		TickNow: len(t.waiting) > t.pendingTokens && !now.Before(t.retryAt),
+		TickNow: len(t.waiting) > t.pendingTokens && t.mayRequest(now, class),
 	}
 }
 
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -69,9 +69,10 @@
 	// Backlog is the expected wait of a new request behind those that wait at all
 	// holders now.
 	Backlog time.Duration
-	// Barred is 1 more than the most urgent priority for which there is nothing until Retry, or
-	// 0 if there is none. Pace is the number of tokens that the holder can expect in a second.
-	// Only collectors set them.
+	// Barred is 1 more than the most urgent priority whose tokens were not all granted, or 0 if
+	// there is none. Requests of more urgent priorities need not wait for Retry. Pace is the
+	// number of tokens that the holder can expect in a second, or 0 while the collector may
+	// still get tokens of others. Only collectors set them.
 	Barred int
 	Pace   float64
 }
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -119,8 +119,8 @@
 				lenders = append(lenders, address)
 			}
 		}
-		if len(lenders) > 1 && short <= max(1, a.burst)/2 {
-			lenders = lenders[:1]
+		if most := 1 + int(2*short/max(1, a.burst)); len(lenders) > most {
+			lenders = lenders[:most]
 		}
 		for _, address := range lenders {
 			t := out[address]
@@ -150,7 +150,11 @@
 	for class, n := range tokens {
 		if n > 0 {
 			need += float64(n)
-			short = max(short, need+a.reserved(now, class)-available)
+			reserved := 0.0
+			if a.burst >= smallBucket {
+				reserved = a.reserved(now, class)
+			}
+			short = max(short, need+reserved-available)
 		}
 	}
 	if ahead := math.Floor(a.totalDemand(now) * needTime.Seconds()); ahead >= 1 {
@@ -166,7 +170,8 @@
 }
 
 // Lend takes tokens out of the buckets for another collector. It keeps those that the own
-// holders are expected to need, and those that are reserved from requests of that priority.
+// holders are expected to need for requests that are as urgent, and those that are reserved
+// from requests of that priority.
 func (c *Collector) Lend(now time.Time, t Transfer) TransferReply {
 	c.catchUp(now)
 	reply := TransferReply{Tokens: make([]float64, len(t.Wants))}
@@ -176,12 +181,13 @@
 			continue
 		}
 		a.advance(now)
-		kept := a.totalDemand(now) * needTime.Seconds()
+		a.decayDemand(now)
+		kept, class := 0.0, classOf(w.Priority)
 		wants, _ := a.totalWants(now)
-		for _, n := range wants {
-			kept += float64(n)
+		for k := range class + 1 {
+			kept += a.demand[k]*needTime.Seconds() + float64(wants[k])
 		}
-		kept = max(kept, a.reserved(now, classOf(w.Priority)))
+		kept = max(kept, a.reserved(now, class))
 		if n := min(w.Tokens, a.level-kept); n >= minTransfer {
 			a.hold(&hold{tokens: n, expires: now.Add(lease.AddClockMargin(spendingTime))})
 			reply.Tokens[k] = n
--- a/io/node/delegates.go
+++ b/io/node/delegates.go
@@ -106,7 +106,7 @@
 		d.n.log.Info("limit: parts delegated", "teams", len(delegated), "instances", s.runningInstances, "supported", s.delegates)
 	}
 	d.teams = delegated
-	d.collector.Configure(now, delegated)
+	d.collector.Configure(now, delegated, fleet.Spare)
 	d.holder.Configure(now, delegated)
 	return owned, d.ways
 }
@@ -198,7 +198,8 @@
 // token it returns the time after which another attempt is worthwhile.
 func (d *delegates) takeToken(ctx context.Context, team string, priority int, maxWait time.Duration) (retry time.Duration, ok bool) {
 	d.mu.Lock()
-	decision := d.holder.TakeToken(d.n.now(), team)
+	maxWait = max(minTokenWait, maxWait)
+	decision := d.holder.TakeTokenFor(d.n.now(), team, priority, maxWait)
 	decided := make(chan quota.Decision, 1)
 	if decision.Outcome == quota.Waiting {
 		d.waiting[decision.Ticket] = decided
@@ -214,7 +215,7 @@
 	case quota.Refused:
 		return decision.Retry, false
 	}
-	timer := time.NewTimer(max(minTokenWait, maxWait))
+	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
 	case decision = <-decided:
@@ -241,7 +242,7 @@
 	}
 	delete(d.waiting, ticket)
 	d.holder.CancelRequest(team, ticket)
-	return quota.Decision{Outcome: quota.Refused, Retry: limitInterval}
+	return quota.Decision{Outcome: quota.Refused, Retry: d.holder.RetryHint(d.n.now(), team)}
 }
 
 // apply delivers the decisions and sends the requests of the quota holder. The caller holds the
