--- a/core/quota/mode.go
+++ b/core/quota/mode.go
@@ -24,8 +24,9 @@
 	// returnShare is the part of the number of instances at which a team is limited by the
 	// reserve again, so that the join and the loss of single instances do not change the way.
 	returnShare = 0.8
-	// shrinkDelay is the time after which a lower number of instances applies.
-	shrinkDelay = 10 * time.Second
+	// shrinkDelay is the time after which a lower number of instances applies. A running
+	// instance whose object was removed writes it again within 13 s.
+	shrinkDelay = 15 * time.Second
 	// growthPause is the time without growth after which an instance that has started a short
 	// time ago delegates its part. The objects of a fleet that starts for the first time appear
 	// one after the other.
--- a/io/node/collectors.go
+++ b/io/node/collectors.go
@@ -148,7 +148,7 @@
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.collector.HandleTransfer(d.n.now(), now, lender, t, reply)
+			d.n.metrics.countTransfer("in", d.collector.HandleTransfer(d.n.now(), now, lender, t, reply))
 			close(d.arrived)
 			d.arrived = make(chan struct{})
 		}()
@@ -159,7 +159,27 @@
 func (d *delegates) lend(t quota.Transfer) quota.TransferReply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.collector.Lend(d.n.now(), t)
+	reply := d.collector.Lend(d.n.now(), t)
+	tokens := 0.0
+	for _, n := range reply.Tokens {
+		tokens += n
+	}
+	d.n.metrics.countTransfer("out", tokens)
+	return reply
+}
+
+// delegations returns the number of instances that delegate their part to this one.
+func (d *delegates) delegations() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.collector.Parts()
+}
+
+// sum returns the sum of the parts that are delegated to this instance.
+func (d *delegates) sum() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.collector.Sum()
 }
 
 // Delegate records the part that another instance delegates to this one.
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -47,9 +47,11 @@
 		"burdockseam_peers":               func() int { return len(n.snapshot.Load().instances) - 1 },
 		"burdockseam_peers_suspect":       n.suspectCount,
 		"burdockseam_table_requests":      func() int { return int(n.tableRequests.Load()) },
+		"burdockseam_limit_delegations":   n.delegates.delegations,
 	} {
 		m.set.NewGauge(name, func() float64 { return float64(value()) })
 	}
+	m.set.NewGauge("burdockseam_limit_sum", n.delegates.sum)
 	m.set.NewGauge("burdockseam_store_silent_seconds", func() float64 { return n.tables.silentFor().Seconds() })
 }
 
@@ -71,12 +73,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("burdockseam_table_bytes_total{kind=%q}", k)).Add(n)
 }
 
-// countLimitOutcome counts an operation by the source of its token: the reserve, or a request
-// to the owner, which may refuse it.
+// countLimitOutcome counts an operation by the source of its token: the reserve, a request to
+// the owner, which may refuse it, or delegated parts, from stock or after a wait for a collector.
 func (m *nodeMetrics) countLimitOutcome(outcome string) {
 	m.increment(fmt.Sprintf("burdockseam_limit_total{outcome=%q}", outcome))
 }
 
+// countTransfer counts tokens that collectors transferred to or from this one.
+func (m *nodeMetrics) countTransfer(direction string, tokens float64) {
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf("burdockseam_limit_transferred_total{direction=%q}", direction)).Add(tokens)
+}
+
 // countingStore is a store that counts its calls by kind and outcome.
 type countingStore struct {
 	Store
