usage: Half of the known instances are enough to seal a window

Cause: after the loss of one of two instances, or of half of a fleet, the others sealed windows only 25 s after their end, until the lost ones were removed from the list.

Change: half is enough. The store gives the record one holder in any case.

Tested: go test ./core/usage, and the tests of usage in ./cmd/burdockctl and ./platform.

--- a/core/usage/failures_test.go
+++ b/core/usage/failures_test.go
@@ -64,6 +64,11 @@
 		{name: "none"},
 		{name: "none, unfenced", unfenced: true},
 		{name: "an instance is killed", at: 2 * time.Second, cause: func(w *world) { w.instances[7].up = false }},
+		{name: "half of the instances are killed", at: 4900 * time.Millisecond, lost: 1, cause: func(w *world) {
+			for _, i := range w.instances[12:] {
+				i.up = false
+			}
+		}},
 		{name: "an instance is restarted", at: 2 * time.Second, cause: func(w *world) { w.start(w.instances[7]) }},
 		{
 			name: "an instance is frozen over a window's end", at: 4 * time.Second, lasts: 2 * time.Second,
--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -119,8 +119,9 @@
 	return n
 }
 
-// hasMost reports whether most of the known instances pushed a short time ago.
-func (g *Gatherer) hasMost(now time.Time) bool { return 2*g.heard(now) > len(g.fleet.Runs) }
+// hasMost reports whether half of the known instances or more pushed a short time ago. Half is
+// enough, so that one of two instances goes on alone; the record has one holder in any case.
+func (g *Gatherer) hasMost(now time.Time) bool { return 2*g.heard(now) >= max(1, len(g.fleet.Runs)) }
 
 // FleetTime returns the fleet clock as the median of the instances' wall clocks. It reports
 // false while most instances have not pushed.
