usage: An instance pushes at once after its clock was corrected

Cause: an instance whose wall clock was ahead at its start planned its next push on that clock, and pushed nothing until the fleet's clock got there. Windows that were given up left no trace for operators.

Change: the plan is dropped when the clock steps. Windows that a record gives up have a log line and a metric.

--- a/core/usage/counter.go
+++ b/core/usage/counter.go
@@ -84,13 +84,15 @@
 // ClockLearned reports whether the fleet clock comes from a gatherer.
 func (c *Counter) ClockLearned() bool { return c.learned }
 
-// LearnClock takes over the fleet clock as it was at now.
-func (c *Counter) LearnClock(now, fleet time.Time) {
+// LearnClock takes over the fleet clock as it was at now. It reports whether the clock steps, so
+// that earlier times of it mean nothing any more.
+func (c *Counter) LearnClock(now, fleet time.Time) (step bool) {
 	offset := fleet.Sub(now)
-	if d := (offset - c.offset).Abs(); d > maxClockStep {
+	if step = (offset - c.offset).Abs() > maxClockStep; step {
 		c.current = 0
 	}
 	c.offset, c.learned = offset, true
+	return step
 }
 
 // advance returns the current window. It does not return to an earlier window when a
--- a/core/usage/failures_test.go
+++ b/core/usage/failures_test.go
@@ -140,6 +140,15 @@
 				}
 			},
 		},
+		{
+			name: "instances start with a wrong wall clock", at: 500 * time.Millisecond,
+			cause: func(w *world) {
+				for _, i := range w.instances[7:11] {
+					i.wall = 20 * time.Second
+					w.start(i)
+				}
+			},
+		},
 		{
 			name: "wall clocks jump, without the median", without: guardMedian, at: 2 * time.Second, lost: 20,
 			cause: func(w *world) { w.instances[1].wall = 7 * time.Second },
@@ -182,6 +191,15 @@
 			if wrong > test.lost || test.without != "" && wrong == 0 {
 				t.Errorf("%d windows are wrong, want at most %d", wrong, test.lost)
 			}
+			missing := 0
+			for k := first; WindowEnd(k, testWindow).Add(LateLimit + testWindow).Before(w.now); k++ {
+				if _, ok := w.reported[k]; !ok {
+					missing++
+				}
+			}
+			if test.without == "" && w.givenUp < missing {
+				t.Errorf("%d windows were given up, and %d are missing", w.givenUp, missing)
+			}
 			if extra := w.callCount - len(w.reported); test.calls >= 0 && extra > test.calls {
 				t.Errorf("%d calls beyond one for each window, want %d", extra, test.calls)
 			}
--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -416,12 +416,14 @@
 	return out
 }
 
-// ConfirmWrite takes over a record that was written at the given time.
-func (g *Gatherer) ConfirmWrite(now, sent time.Time, r Record, at lease.StoredAt) {
+// ConfirmWrite takes over a record that was written at the given time. It returns the number of
+// windows that the record gives up, and the first of them.
+func (g *Gatherer) ConfirmWrite(now, sent time.Time, r Record, at lease.StoredAt) (first uint64, givenUp int) {
 	if at.Era != g.at.Era {
 		g.doubt = true // the store came back from a copy before the write
-		return
+		return 0, 0
 	}
+	first, givenUp = g.givenUp(r)
 	g.owns, g.record, g.pending, g.at, g.seenAt = r.Token > g.refused, r, r, at, now
 	g.valid, g.maxToken = sent.Add(g.o.Lease), max(g.maxToken, r.Token)
 	maps.DeleteFunc(g.confirmed, func(w uint64, _ bool) bool {
@@ -430,6 +432,36 @@
 	for _, p := range g.runs {
 		maps.DeleteFunc(p.windows, func(w uint64, _ Counts) bool { return w < r.Next })
 	}
+	return first, givenUp
+}
+
+// givenUp returns the number of windows that were to be reported by the present record and are
+// no more by the next one, and the first of them.
+func (g *Gatherer) givenUp(next Record) (first uint64, n int) {
+	open := func(w uint64) bool {
+		return slices.ContainsFunc(next.Open, func(r Report) bool { return r.Window == w })
+	}
+	for _, r := range g.record.Open {
+		if !g.confirmed[r.Window] && !open(r.Window) {
+			if n++; n == 1 {
+				first = r.Window
+			}
+		}
+	}
+	if g.record.Next == 0 || next.Next <= g.record.Next {
+		return first, n
+	}
+	kept := 0
+	for _, r := range next.Open {
+		if r.Window >= g.record.Next {
+			kept++
+		}
+	}
+	skipped := int(next.Next-g.record.Next) - kept
+	if skipped > 0 && n == 0 {
+		first = g.record.Next
+	}
+	return first, n + skipped
 }
 
 // CallDue returns the report to send next, with the token to send it under. At most one call is
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -91,6 +91,7 @@
 	truth     map[uint64]uint64
 	callCount int
 	pushes    int
+	givenUp   int
 	perStep   int // requests of each instance in a step
 }
 
@@ -229,8 +230,8 @@
 	if ack.Machine == "" && target.holder != target.name {
 		ack.Machine, ack.Token = target.holder, target.holderToken
 	}
-	if ack.Time != 0 {
-		i.counter.LearnClock(now, time.Unix(0, ack.Time))
+	if ack.Time != 0 && i.counter.LearnClock(now, time.Unix(0, ack.Time)) {
+		i.pushAt = time.Time{}
 	}
 	if ack.Machine == target.name {
 		i.counter.Settle(ack.Settled)
@@ -273,7 +274,8 @@
 		i.gatherer.FailWrite()
 	case w.random.Float64() >= w.loseRate:
 		if stored, ok := write(); ok {
-			i.gatherer.ConfirmWrite(now, now, r, stored)
+			_, n := i.gatherer.ConfirmWrite(now, now, r, stored)
+			w.givenUp += n
 		} else {
 			i.gatherer.FailWrite()
 		}
--- a/io/node/usage.go
+++ b/io/node/usage.go
@@ -210,8 +210,8 @@
 		}
 		return
 	}
-	if ack.Time != 0 {
-		u.counter.LearnClock(now, time.Unix(0, ack.Time).Add(now.Sub(sent)/2))
+	if ack.Time != 0 && u.counter.LearnClock(now, time.Unix(0, ack.Time).Add(now.Sub(sent)/2)) {
+		u.pushAt = time.Time{}
 	}
 	if target == ack.Machine {
 		u.counter.Settle(ack.Settled)
@@ -307,7 +307,11 @@
 		u.gatherer.FailWrite()
 		return
 	}
-	u.gatherer.ConfirmWrite(u.n.now(), sent, r, lease.StoredAt{Era: stored.Era, Revision: stored.Revision})
+	first, givenUp := u.gatherer.ConfirmWrite(u.n.now(), sent, r, lease.StoredAt{Era: stored.Era, Revision: stored.Revision})
+	if givenUp > 0 {
+		u.n.log.Info("usage: windows given up", "window", first, "windows", givenUp, "token", r.Token)
+		u.n.metrics.set.GetOrCreateCounter("burdockseam_usage_lost_total").Add(givenUp)
+	}
 	if held == "" {
 		u.n.log.Info("usage: reports taken over", "token", r.Token, "era", stored.Era, "next", r.Next, "open", len(r.Open))
 	}
