--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -68,6 +68,7 @@
 	valid     time.Time // the end of the own lease
 	sentAt    time.Time // when a write was last started
 	pending   Record    // the record of that write, with a Beat that no other write of this run has
+	refused   uint64    // the highest own token that the platform refused
 	maxToken  uint64    // the highest token known
 	eras      map[uint64]bool
 	started   time.Time
@@ -118,8 +119,9 @@
 	return n
 }
 
-// hasMost reports whether most of the known instances pushed a short time ago.
-func (g *Gatherer) hasMost(now time.Time) bool { return 2*g.heard(now) > len(g.fleet.Runs) }
+// hasMost reports whether half of the known instances or more pushed a short time ago. Half is
+// enough, so that one of two instances goes on alone; the record has one holder in any case.
+func (g *Gatherer) hasMost(now time.Time) bool { return 2*g.heard(now) >= max(1, len(g.fleet.Runs)) }
 
 // FleetTime returns the fleet clock as the median of the instances' wall clocks. It reports
 // false while most instances have not pushed.
@@ -203,7 +205,7 @@
 	case at.Revision == 0 && g.owns && now.Before(g.valid):
 		// The store came back from a copy. No other instance has acted since this one renewed
 		// its record, so its memory is the newest state.
-	case era == at.Era && at.Revision > 0 && r.Run == g.o.Run && (g.owns || r.Beat == g.pending.Beat):
+	case era == at.Era && at.Revision > 0 && r.Run == g.o.Run && r.Token > g.refused && (g.owns || r.Beat == g.pending.Beat):
 		g.owns, g.record = true, r
 		if r.Beat == g.pending.Beat {
 			g.valid = g.sentAt.Add(g.o.Lease) // the write took effect although its answer was lost
@@ -217,9 +219,6 @@
 // next write.
 func (g *Gatherer) FailWrite() { g.doubt = g.o.without != guardDoubt }
 
-// Lose ends the holding of the record.
-func (g *Gatherer) Lose() { g.owns, g.known = false, false }
-
 // takeoverWait returns the time for which the object must have stayed the same before another
 // instance may take it: the lease, and where the platform accepts any token, the time in which
 // a call of the holder may still be carried out.
@@ -417,13 +416,15 @@
 	return out
 }
 
-// ConfirmWrite takes over a record that was written at the given time.
-func (g *Gatherer) ConfirmWrite(now, sent time.Time, r Record, at lease.StoredAt) {
+// ConfirmWrite takes over a record that was written at the given time. It returns the number of
+// windows that the record gives up, and the first of them.
+func (g *Gatherer) ConfirmWrite(now, sent time.Time, r Record, at lease.StoredAt) (first uint64, givenUp int) {
 	if at.Era != g.at.Era {
 		g.doubt = true // the store came back from a copy before the write
-		return
+		return 0, 0
 	}
-	g.owns, g.record, g.pending, g.at, g.seenAt = true, r, r, at, now
+	first, givenUp = g.givenUp(r)
+	g.owns, g.record, g.pending, g.at, g.seenAt = r.Token > g.refused, r, r, at, now
 	g.valid, g.maxToken = sent.Add(g.o.Lease), max(g.maxToken, r.Token)
 	maps.DeleteFunc(g.confirmed, func(w uint64, _ bool) bool {
 		return !slices.ContainsFunc(r.Open, func(o Report) bool { return o.Window == w })
@@ -431,6 +432,36 @@
 	for _, p := range g.runs {
 		maps.DeleteFunc(p.windows, func(w uint64, _ Counts) bool { return w < r.Next })
 	}
+	return first, givenUp
+}
+
+// givenUp returns the number of windows that were to be reported by the present record and are
+// no more by the next one, and the first of them.
+func (g *Gatherer) givenUp(next Record) (first uint64, n int) {
+	open := func(w uint64) bool {
+		return slices.ContainsFunc(next.Open, func(r Report) bool { return r.Window == w })
+	}
+	for _, r := range g.record.Open {
+		if !g.confirmed[r.Window] && !open(r.Window) {
+			if n++; n == 1 {
+				first = r.Window
+			}
+		}
+	}
+	if g.record.Next == 0 || next.Next <= g.record.Next {
+		return first, n
+	}
+	kept := 0
+	for _, r := range next.Open {
+		if r.Window >= g.record.Next {
+			kept++
+		}
+	}
+	skipped := int(next.Next-g.record.Next) - kept
+	if skipped > 0 && n == 0 {
+		first = g.record.Next
+	}
+	return first, n + skipped
 }
 
 // CallDue returns the report to send next, with the token to send it under. At most one call is
@@ -458,6 +489,6 @@
 		g.confirmed[window] = true
 		g.calledAt = time.Time{}
 	case o == Refused && g.owns && g.record.Token == token && g.o.without != guardRefused:
-		g.Lose() // the same token is not used again
+		g.refused, g.owns, g.known = token, false, false
 	}
 }
