quota: Teams with a small local part are limited by delegated parts, too

The four largest teams (975/s) have a local part of 1.1 to 4.2 tokens at 72 instances and so kept the reserve and the owner, which was lost; of 37,848 refusals from 4 to 12 s 25,000 are theirs.

Change: the local part must be 20 tokens in place of one. Fleets of up to ten instances, where the spare tokens give each instance a whole one, keep the reserve as before.

Ruled out: waste at the collectors.

--- a/core/quota/collector.go
+++ b/core/quota/collector.go
@@ -1,6 +1,6 @@
 package quota
 
-// A collector grants the tokens of teams whose local part would be below one token. Each
+// A collector grants the tokens of teams whose local part would be too small. Each
 // instance delegates its part of all rates and bursts to a collector of its failure domain
 // (delegate.go), so a collector is an owner of the teams scaled by the sum of these parts.
 //
--- a/core/quota/mode.go
+++ b/core/quota/mode.go
@@ -21,6 +21,11 @@
 	// started a short time ago, and youngDelay replaces tableDelay then.
 	youngTime  = 15 * time.Second
 	youngDelay = time.Second
+	// minLocalPart is the least burst, in tokens, that makes the local part of a team useful: the
+	// callers of a team are spread unevenly, and a part of a few tokens refuses some while others
+	// have tokens left. With 4 tokens (72 instances, 463/s) a team that sent more than its limit
+	// got about half of it.
+	minLocalPart = 20
 	// returnShare is the part of the number of instances at which a team is limited by the
 	// reserve again, so that the join and the loss of single instances do not change the way.
 	returnShare = 0.8
@@ -82,7 +87,7 @@
 	}
 	for name, t := range teams {
 		mode, known := m.teams[name]
-		if want := f.Complete && f.Delegates && belowOneToken(t, f, mode.delegated); !known {
+		if want := f.Complete && f.Delegates && localPartTooSmall(t, f, mode.delegated); !known {
 			mode = teamMode{delegated: want}
 		} else if want != mode.delegated {
 			mode = teamMode{delegated: want, from: now.Add(m.pause(now, want))}
@@ -102,13 +107,14 @@
 	return owned, delegated, next
 }
 
-// belowOneToken reports whether an instance's part of a team's reserve is below one token.
-func belowOneToken(t config.Team, f Fleet, before bool) bool {
+// localPartTooSmall reports whether an instance's part of a team's reserve is below minLocalPart.
+// A fleet that is so small that the spare tokens give each instance a whole one keeps its reserve.
+func localPartTooSmall(t config.Team, f Fleet, before bool) bool {
 	n := float64(max(1, f.Instances))
 	if before {
 		n /= returnShare
 	}
-	return t.Burst*ReserveShare < n && f.Spare < n
+	return t.Burst*ReserveShare < minLocalPart*n && f.Spare < n
 }
 
 // pause returns the time without tokens when a team changes its way.
--- a/io/node/delegates.go
+++ b/io/node/delegates.go
@@ -1,6 +1,6 @@
 package node
 
-// Rate limits of teams whose local part would be below one token, in a large fleet. Each
+// Rate limits of teams whose local part would be too small, in a large fleet. Each
 // instance delegates its part of all limits to a collector of its failure domain, and requests
 // tokens from the collector that answers. Neither the store nor a lease is involved. The state
 // has a lock of its own. While no team is limited in this way nothing is sent.
