quota: The pause between the two ways is twice the delay of the tables

TestModesDoNotMix found that a pause of 5 s lets one instance delegate while another has an owner for the team, if an instance of an old build joins within 5 s after the last one has left.

--- a/core/quota/mode.go
+++ b/core/quota/mode.go
@@ -2,10 +2,11 @@
 
 // Which teams are limited by delegated parts, and which by the reserve and the owner. Instances
 // learn of changes at different times. A team therefore changes from one way to the other with
-// a pause that is longer than a change of the tables takes, in which it has no tokens: so the
-// last instance has stopped the one way before the first begins the other. Instances that have
-// started a short time ago use a shorter pause, since they have spent nothing before, and the
-// first complete tables apply without one.
+// a pause in which it has no tokens, of twice the time that a change of the tables takes at
+// most. Within the first half, every other instance has stopped the one way, or has learned of
+// a change back and gone on; the second half tells this instance of such a change. Instances
+// that have started a short time ago use a shorter pause, since they have spent nothing before,
+// and the first complete tables apply without one.
 
 import (
 	"time"
@@ -18,7 +19,7 @@
 	// tableDelay is the time within which a change of the instances is known to all of them.
 	tableDelay = 5 * time.Second
 	// youngTime is the time after the first complete tables in which an instance counts as
-	// started a short time ago, and youngDelay replaces tableDelay then.
+	// started a short time ago, and youngDelay replaces the pause then.
 	youngTime  = 15 * time.Second
 	youngDelay = time.Second
 	// returnShare is the part of the number of instances at which a team is limited by the
@@ -115,11 +116,11 @@
 func (m *Modes) pause(now time.Time, toDelegated bool) time.Duration {
 	switch {
 	case !toDelegated:
-		return tableDelay + lease.AddClockMargin(delegationLife+TransferLifetime)
+		return 2*tableDelay + lease.AddClockMargin(delegationLife+TransferLifetime)
 	case now.Sub(m.completeAt) < youngTime:
 		return youngDelay
 	}
-	return tableDelay
+	return 2 * tableDelay
 }
 
 // observeSize records the number of instances.
