health: Judges upstreams of a group by their answers

An upstream that fails most of its reads while its health checks succeed gets its full share of the reads, since nothing looks at its answers.

It is not used yet.

--- /dev/null
+++ b/core/health/cost.go
@@ -0,0 +1,71 @@
+package health
+
+// Expected times of reads. They decide where a read goes among the upstreams that may serve it.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// loadWeight is the weight of one report in the mean load.
+	loadWeight = 0.2
+	// loadMemory is the time in which a reported load loses most of its difference from the
+	// mean: a queue of 20 statements of 15 ms with 5 slots is served in 60 ms, and a wave of
+	// callers lasts for seconds.
+	loadMemory = 300 * time.Millisecond
+	// maxFailing bounds the failing share in an expected time, which stays finite.
+	maxFailing = 0.95
+	// AssumedService is the assumed time of a read at an upstream without figures.
+	AssumedService = 15 * time.Millisecond
+)
+
+// Score is what is expected of an upstream. Scores are not changed after they were handed out.
+type Score struct {
+	Service time.Duration
+	Failing float64
+	Load    float64
+	// Pace is 0 if the gateway does not state it.
+	Pace int
+	// Waited is the mean time for which this instance's reads are without an answer.
+	Waited time.Duration
+	// Avoided is set if reads go elsewhere.
+	Avoided bool
+}
+
+// Scores returns what is expected of the members. Upstreams without any report are left out.
+func (g *Group) Scores(now time.Time, members []string) map[string]Score {
+	out := make(map[string]Score, len(members))
+	for _, name := range members {
+		s := g.states[name]
+		if s == nil {
+			continue
+		}
+		waited, _ := s.open.ages(now)
+		age := now.Sub(s.at)
+		score := Score{Waited: waited, Avoided: s.why != ""}
+		if !s.at.IsZero() && age <= figuresAge {
+			score.Service, score.Failing, score.Pace = s.figures.Service, s.figures.Failing, s.figures.Pace
+			score.Load = s.meanLoad + (float64(s.figures.Load)-s.meanLoad)*math.Exp(-float64(age)/float64(loadMemory))
+		}
+		out[name] = score
+	}
+	return out
+}
+
+// ExpectedTime returns the expected time of a read: the queue and the read itself, plus the
+// network, divided by the probability of success. Load is the number of statements that the
+// instance itself has under way, and slots stands in for an unknown pace.
+func (s Score) ExpectedTime(load, slots int, network time.Duration) time.Duration {
+	service := s.Service
+	if service == 0 {
+		service = AssumedService
+	}
+	pace := s.Pace
+	if pace <= 0 {
+		pace = max(1, slots)
+	}
+	t := float64(service) * (1 + max(s.Load, float64(load))/float64(pace))
+	t = max(t, float64(s.Waited)) + float64(network)
+	return time.Duration(t / (1 - min(s.Failing, maxFailing)))
+}
