node: Reads avoid upstreams whose answers are bad

Reads went to the nearest upstream and, among equally near ones, to the first by name, with an assumed time of 15 ms. An upstream that failed most of its reads kept its full share, and callers saw the failures.

Gateways measure the time of reads and writes and the share of reads that fails, and replies carry both (Reply.Service, Failing). Instances keep the figures in a room with its own lock (io/node/health.go). Reads go to the upstream with the least expected time; one that is judged as failing or slow is avoided and gets probes, until its answers are good. All of it needs Settings.Adaptive.

--- a/core/health/cost.go
+++ b/core/health/cost.go
@@ -14,6 +14,8 @@
 	// mean: a queue of 20 statements of 15 ms with 5 slots is served in 60 ms, and a wave of
 	// callers lasts for seconds.
 	loadMemory = 300 * time.Millisecond
+	// meanMemory is the time in which the mean load loses most of its weight without a report.
+	meanMemory = time.Second
 	// maxFailing bounds the failing share in an expected time, which stays finite.
 	maxFailing = 0.95
 	// AssumedService is the assumed time of a read at an upstream without figures.
@@ -33,8 +35,11 @@
 	Avoided bool
 }
 
-// Scores returns what is expected of the members. Upstreams without any report are left out.
-func (g *Group) Scores(now time.Time, members []string) map[string]Score {
+// Scores returns what is expected of the members. Upstreams without any report are left out. In
+// the time memory, figures without a newer report lose most of their weight against the upstream's
+// own past. An upstream that gets no reads since it was somewhat slower than the others is thus
+// tried again.
+func (g *Group) Scores(now time.Time, members []string, memory time.Duration) map[string]Score {
 	out := make(map[string]Score, len(members))
 	for _, name := range members {
 		s := g.states[name]
@@ -45,8 +50,13 @@
 		age := now.Sub(s.at)
 		score := Score{Waited: waited, Avoided: s.why != ""}
 		if !s.at.IsZero() && age <= figuresAge {
-			score.Service, score.Failing, score.Pace = s.figures.Service, s.figures.Failing, s.figures.Pace
-			score.Load = s.meanLoad + (float64(s.figures.Load)-s.meanLoad)*math.Exp(-float64(age)/float64(loadMemory))
+			faded := math.Exp(-float64(age) / float64(memory))
+			score.Service, score.Failing, score.Pace = s.figures.Service, s.figures.Failing*faded, s.figures.Pace
+			if s.past > 0 && s.past < score.Service {
+				score.Service = s.past + time.Duration(faded*float64(score.Service-s.past))
+			}
+			mean := s.meanLoad * math.Exp(-float64(age)/float64(meanMemory))
+			score.Load = mean + (float64(s.figures.Load)-mean)*math.Exp(-float64(age)/float64(loadMemory))
 		}
 		out[name] = score
 	}
@@ -55,8 +65,9 @@
 
 // ExpectedTime returns the expected time of a read: the queue and the read itself, plus the
 // network, divided by the probability of success. Load is the number of statements that the
-// instance itself has under way, and slots stands in for an unknown pace.
-func (s Score) ExpectedTime(load, slots int, network time.Duration) time.Duration {
+// instance itself has under way, and slots stands in for an unknown pace. Variation is a factor
+// of the time at the upstream; it is 1 for the expected time itself.
+func (s Score) ExpectedTime(load, slots int, network time.Duration, variation float64) time.Duration {
 	service := s.Service
 	if service == 0 {
 		service = AssumedService
@@ -66,6 +77,6 @@
 		pace = max(1, slots)
 	}
 	t := float64(service) * (1 + max(s.Load, float64(load))/float64(pace))
-	t = max(t, float64(s.Waited)) + float64(network)
+	t = max(t, float64(s.Waited))*variation + float64(network)
 	return time.Duration(t / (1 - min(s.Failing, maxFailing)))
 }
--- a/core/health/group.go
+++ b/core/health/group.go
@@ -11,13 +11,17 @@
 )
 
 const (
-	// AvoidFailing is the failing share beyond the others' from which an upstream is avoided.
+	// AvoidFailing is the failing share beyond twice the others' from which an upstream is avoided.
 	// At this share, the reads that one of three upstreams fails take half of the retry budget
 	// (queue.RetryShare).
 	AvoidFailing = 0.15
-	// ReturnFailing is the share beyond the others' below which an upstream returns, and above
-	// which a failed read is tried elsewhere.
-	ReturnFailing = 0.05
+	// RepeatFailing is the share beyond twice the others' from which a failed read is tried
+	// elsewhere.
+	RepeatFailing = 0.05
+	// ReturnFailing is the share beyond twice the others' below which an upstream returns. It
+	// takes 17 good answers in a row after the least avoidance, which an upstream that goes on
+	// failing 40 % gives once in 6,000 times. With 0.05 such an upstream returned within seconds.
+	ReturnFailing = 0.02
 	// avoidSlow and returnSlow are the multiples of the others' service time from which an
 	// upstream is avoided, and below which it returns. Differences between machines and between
 	// 20 reads stay below; expected times take them into account.
@@ -34,8 +38,8 @@
 	// so that an upstream that fails by turns stays away for longer.
 	flapWindow  = time.Minute
 	maxEvidence = 8
-	// maxProbeRate bounds by how much good reports shorten the time between probes.
-	maxProbeRate = 8
+	// maxProbeRate bounds by how much good answers shorten the time between probes.
+	maxProbeRate = 4
 	// figuresAge is the time after which figures without a newer report are not used. An
 	// avoided upstream without reads for this long returns, since nobody is served worse.
 	figuresAge = 2 * time.Minute
@@ -71,7 +75,8 @@
 	why        Why           // "" unless the upstream is avoided
 	since      time.Time
 	nextProbe  time.Time
-	goodStreak int       // good reports in a row while avoided
+	goodStreak int       // reports in a row that speak for the return while avoided
+	better     int       // reports in a row that are better than the one before
 	returns    int       // recent returns
 	returnedAt time.Time // last return
 	open       openReads // reads of this instance without an answer
@@ -116,13 +121,16 @@
 		// The gateway does not measure, or has measured nothing yet.
 		f.Service, f.Failing = s.figures.Service, max(s.figures.Failing, f.Failing)
 	}
+	better := f.Failing < s.figures.Failing || f.Failing == s.figures.Failing && f.Service < s.figures.Service
 	s.figures, s.at = f, now
 	if s.why != "" {
-		if others, ok := g.others(now, name, members); !ok || g.isFine(s, others) {
-			s.goodStreak++
-		} else {
+		others, ok := g.others(now, name, members)
+		if s.goodStreak++; ok && !g.isFine(s, others) {
 			s.goodStreak = 0
 		}
+		if s.better++; !better && s.goodStreak == 0 {
+			s.better = 0
+		}
 	}
 	return g.judge(now, members)
 }
@@ -188,7 +196,7 @@
 		}
 		if len(avoided) < room {
 			s := g.states[c.Upstream]
-			s.why, s.since, s.goodStreak, s.nextProbe = c.Why, now, 0, now.Add(ProbeInterval)
+			s.why, s.since, s.goodStreak, s.better, s.nextProbe = c.Why, now, 0, 0, now.Add(ProbeInterval)
 			avoided = append([]string{c.Upstream}, avoided...)
 			out = append(out, c)
 		}
@@ -201,6 +209,10 @@
 	return float64(max(1, f.Service)) / float64(max(1, others.Service)) / (1 - min(f.Failing, maxFailing))
 }
 
+// excess returns by how much the failing share exceeds twice the others'. The share of a statement
+// that fails everywhere varies between upstreams, since it is taken from about 20 reads.
+func (f Figures) excess(others Figures) float64 { return f.Failing - 2*others.Failing }
+
 // end ends the avoidance of an upstream.
 func (g *Group) end(now time.Time, name string, others Figures) Change {
 	s := g.states[name]
@@ -233,7 +245,7 @@
 func (g *Group) fault(s *state, others Figures) Why {
 	f := s.figures
 	switch {
-	case f.Failing-others.Failing >= AvoidFailing:
+	case f.excess(others) >= AvoidFailing:
 		return Failing
 	case others.Service > 0 && f.Service >= avoidSlow*others.Service && f.Service >= pastSlow*s.past:
 		return Slow
@@ -244,11 +256,13 @@
 // isFine reports whether the figures of an avoided upstream speak for its return.
 func (g *Group) isFine(s *state, others Figures) bool {
 	f := s.figures
-	return f.Failing-others.Failing <= ReturnFailing && (others.Service == 0 || f.Service <= returnSlow*max(others.Service, s.past))
+	return f.excess(others) <= ReturnFailing && (others.Service == 0 || f.Service <= returnSlow*max(others.Service, s.past))
 }
 
-// others returns the lower median of the figures of the other members, for each figure by itself.
-// It returns false if none of them is known.
+// others returns the medians of the figures of the other members, the lower one of the times and
+// the upper one of the failing shares. A share tells little about an upstream with few reads,
+// such as a primary: it is near 0 although the same reads would fail there too. It returns false
+// if none of the others is known.
 func (g *Group) others(now time.Time, name string, members []string) (Figures, bool) {
 	var failing []float64
 	var service []time.Duration
@@ -266,7 +280,7 @@
 		return Figures{}, false
 	}
 	slices.Sort(failing)
-	f := Figures{Failing: failing[(len(failing)-1)/2]}
+	f := Figures{Failing: failing[len(failing)/2]}
 	if len(service) > 0 {
 		slices.Sort(service)
 		f.Service = service[(len(service)-1)/2]
@@ -282,7 +296,7 @@
 		return false
 	}
 	others, ok := g.others(now, name, members)
-	return s.why != "" || ok && s.figures.Failing-others.Failing >= ReturnFailing
+	return s.why != "" || ok && s.figures.excess(others) >= RepeatFailing
 }
 
 // ProbeInterval is the time between the probes of an avoided upstream by all instances together.
@@ -295,6 +309,6 @@
 	if s == nil || s.why == "" || now.Before(s.nextProbe) {
 		return false
 	}
-	s.nextProbe = now.Add(interval / time.Duration(min(maxProbeRate, 1+s.goodStreak)))
+	s.nextProbe = now.Add(interval / time.Duration(min(maxProbeRate, 1+s.better)))
 	return true
 }
--- a/core/health/meter.go
+++ b/core/health/meter.go
@@ -19,6 +19,9 @@
 	// leastKept bounds how much one answer replaces after a time without answers. Time alone
 	// proves nothing, so an upstream returns by its answers only.
 	leastKept = 0.9
+	// leastKeptTimes is the same for times. It is lower, since a single time tells more than a
+	// single success: after three reads at the usual speed, little is left of a slow past.
+	leastKeptTimes = 0.5
 	// halfLife is the time in which evidence loses half of its weight while answers come.
 	halfLife = 2 * time.Second
 	// priorReads is the number of good reads that an upstream is credited with, so that a
@@ -88,8 +91,13 @@
 	m.record(now, o, took)
 }
 
-// Fail records a read that failed before it was sent, since no connection could be opened.
-func (m *Meter) Fail(now time.Time) { m.record(now, Bad, 0) }
+// EndUnsent records the outcome of an attempt that ended before its statement was sent, such as
+// the opening of a connection. An attempt that did not fail says nothing about reads.
+func (m *Meter) EndUnsent(took time.Duration, now time.Time, o Outcome) {
+	if o == Bad || o == Late && took >= m.lateAfter() {
+		m.record(now, Bad, took)
+	}
+}
 
 func (m *Meter) record(now time.Time, o Outcome, took time.Duration) {
 	if o == Neutral {
@@ -97,15 +105,15 @@
 	}
 	faded := 1.0
 	if !m.answeredAt.IsZero() {
-		faded = max(leastKept, math.Exp2(-float64(now.Sub(m.answeredAt))/float64(halfLife)))
+		faded = math.Exp2(-float64(now.Sub(m.answeredAt)) / float64(halfLife))
 	}
 	m.answeredAt = now
-	kept := min(shortWindow, faded)
+	kept := min(shortWindow, max(leastKept, faded))
 	m.good, m.bad = m.good*kept, m.bad*kept
 	switch o {
 	case Good:
 		m.good++
-		m.reads.add(took, min(longWindow, faded))
+		m.reads.add(took, min(longWindow, max(leastKeptTimes, faded)))
 	case Late:
 		m.bad++
 		m.reads.addUnfinished(took)
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -25,8 +25,10 @@
 		g.releaseConnection(c, id, r, true)
 		return call.Refusal(call.Busy, "the time for the statement is over")
 	}
-	a, err := c.prepareSession(earlier(deadline, g.gateways.now().Add(controlTimeout)), r.Values, r.Statement)
+	preparing := g.gateways.now()
+	a, err := c.prepareSession(earlier(deadline, preparing.Add(controlTimeout)), r.Values, r.Statement)
 	if err != nil || a.Code != call.OK {
+		g.measureUnsent(preparing, a, err)
 		return g.failPreparation(c, id, r, a, err)
 	}
 	proof := leadershipProof{now: g.gateways.now}
@@ -38,6 +40,7 @@
 		}
 		a, err := c.Begin(earlier(deadline, began.Add(controlTimeout)), r.Open == call.OpenRead, after)
 		if err != nil || a.Code != call.OK {
+			g.measureUnsent(began, a, err)
 			return g.failPreparation(c, id, r, a, err)
 		}
 		c.transaction, c.wrote = r.Open, false
@@ -67,6 +70,7 @@
 	primaryOnly := c.transaction == call.OpenWrite || c.transaction == call.OpenFence
 	wrote := c.wrote
 	began := g.gateways.now()
+	g.beginMeasured(s, began)
 	a, err := c.Run(deadline, s, preparedName(s), r.After)
 	for err == nil && a.Code == call.Busy && a.State == call.Active && g.gateways.now().Add(busyRetryInterval).Before(deadline) {
 		// Retry, since a lost transaction is worse than a refused new request. The slot
@@ -76,6 +80,7 @@
 		a, err = c.Run(deadline, s, preparedName(s), r.After)
 	}
 	g.gateways.observer.Answered(g.gateways.now().Sub(began))
+	g.endMeasured(s, began, a, err)
 	if err != nil {
 		g.releaseConnection(c, id, r, false)
 		return g.lostAnswerReply(r, err)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"burdockseam/core/call"
+	"burdockseam/core/health"
 	"burdockseam/core/queue"
 )
 
@@ -64,6 +65,7 @@
 
 	mu              sync.Mutex
 	queue           *queue.Queue
+	meter           health.Meter
 	waiting         map[uint64]waitingRequest
 	conns           map[uint64]*pooledConn
 	transactions    map[string]*pooledConn // connections in a transaction, by session
@@ -276,6 +278,7 @@
 		return
 	}
 	g.dialFailure, g.dialFailedAt = reply, now
+	g.meter.EndUnsent(now.Sub(began), now, health.Bad)
 	g.applyDecisions(g.queue.ConnectionLost(now, id))
 	for id := range g.waiting {
 		if waiting, list := g.queue.Cancel(now, id); waiting {
--- a/io/gateway/gateways.go
+++ b/io/gateway/gateways.go
@@ -42,7 +42,12 @@
 
 // Run runs a request at the upstream that it names.
 func (s *Gateways) Run(ctx context.Context, r call.Request) call.Reply {
-	return s.getOrCreate(r).run(ctx, r)
+	g := s.getOrCreate(r)
+	reply := g.run(ctx, r)
+	if r.Adaptive {
+		g.addFigures(&reply)
+	}
+	return reply
 }
 
 // EndTransaction rolls back the transaction of a session whose caller has given it up.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,6 +88,7 @@
 	callers    *caller.Server
 	limits     *limits
 	primaries  *primaries
+	health     *upstreamHealth
 	ready      atomic.Bool
 	draining   atomic.Bool
 	stopping   atomic.Pointer[shutdown.Plan] // nil before the shutdown
@@ -138,6 +139,7 @@
 	n.gateways = gateway.New(p.Dialer, n.metrics, log, n.now)
 	n.limits = newLimits(n)
 	n.primaries = newPrimaries(n)
+	n.health = newUpstreamHealth(n)
 	config := peer.Config{Addr: s.Peer, MaxInFlight: maxPeerCalls, Metrics: n.metrics.set}
 	n.peers = peer.NewPool(config)
 	var err error
@@ -167,6 +169,7 @@
 func (n *Node) Ready() bool {
 	n.nextChange()
 	n.primaries.groupCount()
+	n.health.groupCount()
 	return n.ready.Load() && !n.draining.Load()
 }
 
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -11,7 +11,6 @@
 	"burdockseam/core/access"
 	"burdockseam/core/call"
 	"burdockseam/core/placement"
-	"burdockseam/core/route"
 	"burdockseam/core/wal"
 	"burdockseam/io/caller"
 	"burdockseam/io/peer"
@@ -78,6 +77,7 @@
 	open     call.Open
 	after    wal.Position
 	reason   string
+	probe    bool // the upstream is avoided, and the read finds out whether it still should be
 }
 
 // Run implements caller.Router.
@@ -192,6 +192,7 @@
 	r := op.Grant.Route
 	view := n.primaries.view(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness))
 	now := n.now()
+	scores := n.health.scores(snap, op, s, len(tried) == 0)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r.Consistency == access.Primary || s.IsWrite() || op.Kind == call.Begin || !view.hasFloor {
@@ -210,6 +211,10 @@
 		}
 		c.reason, c.after = "replica", after
 		candidateCost := n.estimateCost(u, after, now)
+		if scores != nil {
+			candidateCost = n.expectedCost(u, scores[u.Name], after, now)
+			c.probe = scores[u.Name].probe
+		}
 		if op.Kind != "" {
 			c.open = call.OpenRead
 		}
@@ -297,41 +302,6 @@
 	return ok && n.snapshot.Load().outDomains[u.Domain] && now.Sub(since) >= n.settings().EvacuateTimeout-leaveMargin/3
 }
 
-// estimateCost estimates the time until an upstream answers a read. The caller holds the
-// lock.
-func (n *Node) estimateCost(u *upstream, after wal.Position, now time.Time) time.Duration {
-	k := n.statsOf(u.Name)
-	load := k.inFlight
-	if now.Sub(k.loadAt) < route.MaxReplicaWait*10 {
-		load = max(load, k.load)
-	}
-	cost := assumedStatementTime * time.Duration(load+1) / time.Duration(max(1, u.Slots))
-	switch n.settings().Place(n.self.Domain).Distance(u.place) {
-	case 1:
-		cost += domainRoundTrip
-	case 2:
-		cost += regionRoundTrip
-	}
-	if now.Sub(k.fullAt) < fullPause {
-		cost += time.Second
-	}
-	if now.Sub(k.laggedAt) < lagPause && after.Compare(k.lackedPosition) >= 0 {
-		cost += time.Second
-	}
-	return cost
-}
-
-// statsOf returns the stats of an upstream, and creates them if needed. The caller holds the
-// lock.
-func (n *Node) statsOf(name string) *upstreamStats {
-	k := n.stats[name]
-	if k == nil {
-		k = &upstreamStats{}
-		n.stats[name] = k
-	}
-	return k
-}
-
 // sendStatement sends a statement to a gateway and records what the reply shows.
 func (n *Node) sendStatement(ctx context.Context, op *caller.Operation, s call.Statement, c choice, deadline time.Time) call.Reply {
 	if c.open == call.OpenFence && s.IsWrite() {
@@ -347,8 +317,14 @@
 		Team: op.Grant.Team.Name, Session: op.Name, Inside: op.Upstream != "", Open: c.open, Statement: s,
 		After: c.after, Values: op.Values, Budget: budget, Idle: n.snapshot.Load().policy.TransactionIdle,
 	}
+	req.Adaptive = n.settings().Adaptive
+	if c.probe {
+		req.Budget = min(req.Budget, probeBudget(op.Grant.Route))
+	}
 	n.addInFlight(c.upstream.Name, 1)
+	n.health.recordSent(c, s, began)
 	r := n.callGateway(ctx, c.gateway, req, op)
+	n.health.recordReply(c, s, began, r)
 	n.addInFlight(c.upstream.Name, -1)
 	// The commit of a read-only transaction waits for no replica.
 	commit := r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "")
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -278,6 +278,7 @@
 	for _, name := range forget {
 		n.gateways.CloseGateway(name)
 	}
+	n.health.forget(forget)
 	if s.policy.Version != before.policy.Version {
 		n.log.Info("config: in force", "version", s.policy.Version, "replaced", before.policy.Version, "routes", len(s.policy.Routes))
 	}
