--- a/io/node/health_test.go
+++ b/io/node/health_test.go
@@ -271,6 +271,24 @@
 	return out
 }
 
+const wrongJudgement = "a wrong judgement of all"
+
+// misjudgeAll makes all instances take each upstream for bad, u1 first.
+func misjudgeAll(t *testing.T, nodes []*Node) {
+	t.Helper()
+	for _, n := range nodes {
+		list := n.snapshot.Load().groups["g0"]
+		for _, failing := range []float64{0, 0.9} {
+			for i := range list {
+				n.health.recordReply(choice{upstream: list[(i+1)%len(list)]}, call.Statement{Kind: call.Commit}, n.now(), call.Reply{Service: testService, Failing: failing})
+			}
+		}
+	}
+	if avoided, _ := avoidances(nodes, "u1"); avoided != len(nodes) {
+		t.Errorf("u1 avoided by %d instances, want all", avoided)
+	}
+}
+
 // TestReadsAvoidBadUpstream guards against callers that see the failures, the silence or the
 // slowness of one upstream while two others of its group could serve their reads, against
 // avoidance without a reason, and against an upstream that does not return. It plays the same
@@ -293,6 +311,7 @@
 		{"all slow together", disturbance{slow: 3}, true, 0, 1, false},
 		{"a statement that fails everywhere", disturbance{failing: 0.3}, true, 0.55, 1, true},
 		{"nothing is wrong", disturbance{}, false, 0.99, 1, false},
+		{wrongJudgement, disturbance{}, false, 0.99, 1, true},
 	} {
 		for _, adaptive := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, adaptive %t", c.name, adaptive), func(t *testing.T) {
@@ -304,6 +323,9 @@
 						s.disturbance.Store(&c.disturbance)
 					}
 				}
+				if c.name == wrongJudgement && adaptive {
+					misjudgeAll(t, nodes)
+				}
 				first := play(nodes, 700*time.Millisecond, rate)
 				before, beforeAll := servers["u1"].reads.Load(), servers.reads()
 				results := play(nodes, 2*time.Second, rate)
