--- a/io/node/node.go
+++ b/io/node/node.go
@@ -99,6 +99,7 @@
 	delegates  *delegates
 	usage      *usageReports // nil without usage reports
 	primaries  *primaries
+	health     *upstreamHealth
 	ready      atomic.Bool
 	draining   atomic.Bool
 	stopping   atomic.Pointer[shutdown.Plan] // nil before the shutdown
@@ -155,6 +156,7 @@
 		n.gateways.Meter = n.usage
 	}
 	n.primaries = newPrimaries(n)
+	n.health = newUpstreamHealth(n)
 	config := peer.Config{Addr: s.Peer, MaxInFlight: maxPeerCalls, Metrics: n.metrics.set}
 	n.peers = peer.NewPool(config)
 	var err error
@@ -184,6 +186,7 @@
 func (n *Node) Ready() bool {
 	n.nextChange()
 	n.primaries.groupCount()
+	n.health.groupCount()
 	return n.ready.Load() && !n.draining.Load()
 }
 
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -11,7 +11,6 @@
 	"burdockseam/core/access"
 	"burdockseam/core/call"
 	"burdockseam/core/placement"
-	"burdockseam/core/route"
 	"burdockseam/core/wal"
 	"burdockseam/io/caller"
 	"burdockseam/io/peer"
@@ -80,7 +79,8 @@
 	reason   string
 	// last says that a read may use all of its time, since the upstream has refused it
 	// before and no other one was left.
-	last bool
+	last  bool
+	probe bool // the upstream is avoided, and the read finds out whether it still should be
 }
 
 // Run implements caller.Router.
@@ -111,6 +111,9 @@
 	tried := make(map[string]int)
 	last := call.Refusal(call.Busy, "no upstream can run this now")
 	last.Retry = noPrimaryRetry
+	n.health.countAdmitted(op.Grant.Team.Name)
+	ran := false           // a statement may have run
+	failed := call.Reply{} // the failure of a read that is tried once more
 	for attempt := 0; attempt < maxAttempts; {
 		next := n.nextChange()
 		c, ok := n.chooseUpstream(op, s, tried)
@@ -120,6 +123,12 @@
 				last.Retry = noPrimaryRetry
 				return last
 			}
+			if failed.Code != call.OK {
+				return failed
+			}
+			if r, refused := n.refuseWait(waitingRule, op, deadline); refused && !ran {
+				return r
+			}
 			if !n.waitForChange(ctx, next, deadline) {
 				break
 			}
@@ -129,6 +138,7 @@
 		attempt++
 		tried[c.upstream.Name]++
 		last = n.sendStatement(ctx, op, s, c, deadline)
+		ran = ran || last.Ran != call.RanNo
 		if last.Code == call.ReadOnly && last.Ran == call.RanNo && n.primaries.isTakingOver(c.upstream.Group, c.upstream.Name) {
 			// The statement waits for the promotion, which takes longer than a few attempts.
 			attempt--
@@ -140,9 +150,18 @@
 		// A repeated refusal by a gateway's queue, which advises when to retry, is final: more
 		// attempts would only add load.
 		if isFinal(op, s, last) || c.last && last.Code == call.Busy && last.Retry > 0 || !n.now().Before(deadline) {
-			return last
+			switch {
+			case failed.Code != call.OK && last.Code != call.OK:
+				return failed
+			case failed.Code != call.OK || !n.mayRepeat(op, s, c, last, deadline):
+				return last
+			}
+			failed = last
 		}
 	}
+	if failed.Code != call.OK {
+		return failed
+	}
 	return last
 }
 
@@ -198,6 +217,10 @@
 	r := op.Grant.Route
 	view := n.primaries.view(r.Group, op.Arrived.Add(stalenessMargin-r.Staleness))
 	now := n.now()
+	if view.believed == "" {
+		n.health.observePrimary(r.Group, true)
+	}
+	scores := n.health.scores(snap, op, s, len(tried) == 0)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r.Consistency == access.Primary || s.IsWrite() || op.Kind == call.Begin || !view.hasFloor {
@@ -216,6 +239,10 @@
 		}
 		c.reason, c.after = "replica", after
 		candidateCost := n.estimateCost(u, after, now)
+		if scores != nil {
+			candidateCost = n.expectedCost(u, scores[u.Name], after, now)
+			c.probe = scores[u.Name].probe
+		}
 		if op.Kind != "" {
 			c.open = call.OpenRead
 		}
@@ -303,41 +330,6 @@
 	return ok && n.snapshot.Load().outDomains[u.Domain] && now.Sub(since) >= n.settings().EvacuateTimeout-leaveMargin/3
 }
 
-// estimateCost estimates the time until an upstream answers a read. The caller holds the
-// lock.
-func (n *Node) estimateCost(u *upstream, after wal.Position, now time.Time) time.Duration {
-	k := n.statsOf(u.Name)
-	load := k.inFlight
-	if now.Sub(k.loadAt) < route.MaxReplicaWait*10 {
-		load = max(load, k.load)
-	}
-	cost := assumedStatementTime * time.Duration(load+1) / time.Duration(max(1, u.Slots))
-	switch n.settings().Place(n.self.Domain).Distance(u.place) {
-	case 1:
-		cost += domainRoundTrip
-	case 2:
-		cost += regionRoundTrip
-	}
-	if now.Sub(k.fullAt) < fullPause {
-		cost += time.Second
-	}
-	if now.Sub(k.laggedAt) < lagPause && after.Compare(k.lackedPosition) >= 0 {
-		cost += time.Second
-	}
-	return cost
-}
-
-// statsOf returns the stats of an upstream, and creates them if needed. The caller holds the
-// lock.
-func (n *Node) statsOf(name string) *upstreamStats {
-	k := n.stats[name]
-	if k == nil {
-		k = &upstreamStats{}
-		n.stats[name] = k
-	}
-	return k
-}
-
 // sendStatement sends a statement to a gateway and records what the reply shows.
 func (n *Node) sendStatement(ctx context.Context, op *caller.Operation, s call.Statement, c choice, deadline time.Time) call.Reply {
 	if c.open == call.OpenFence && s.IsWrite() {
@@ -355,8 +347,14 @@
 		Priority: op.Grant.Route.Priority, Target: targetLeft(op, began),
 		Born: c.upstream.Incarnation, Since: began.Sub(c.upstream.since), Adaptive: n.settings().Adaptive,
 	}
+	if c.probe {
+		req.Budget = min(req.Budget, probeBudget(op.Grant.Route))
+	}
 	n.addInFlight(c.upstream.Name, 1)
-	r := n.primaries.rejectOutdated(req, n.callGateway(ctx, c.gateway, req, op))
+	n.health.recordSent(c, s, began)
+	r := n.callGateway(ctx, c.gateway, req, op)
+	n.health.recordReply(c, s, began, r)
+	r = n.primaries.rejectOutdated(req, r)
 	n.addInFlight(c.upstream.Name, -1)
 	// The commit of a read-only transaction waits for no replica.
 	commit := r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "")
