quota: Each bucket of a collector has its part of the spare tokens, transfers are whole

Change: the spare tokens add to the bucket of each team, not only to those below four tokens; all collectors together exceed a burst by them as before. A transfer from a bucket of four tokens or more has whole tokens.

--- a/core/quota/collector.go
+++ b/core/quota/collector.go
@@ -145,11 +145,13 @@
 	}
 }
 
-// scale sets the collector's parts of the team. The caller has refilled the bucket.
+// scale sets the collector's parts of the team. The spare tokens add to each burst: the part of a
+// small one is a few tokens, which slices and transfers that are under way take up, and refill
+// stops meanwhile. The caller has refilled the bucket.
 func (a *account) scale(sum, spare float64) {
 	a.rate, a.burst = a.whole.Rate*sum*(1-maxClockDrift), a.whole.Burst*sum
-	if a.burst < smallBucket {
-		a.burst = min(smallBucket, a.burst+spare*sum)
+	if a.burst > 0 {
+		a.burst += spare * sum
 	}
 	a.level = max(0, min(a.level, a.burst-a.outstanding))
 }
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -188,7 +188,11 @@
 			kept += a.demand[k]*needTime.Seconds() + float64(wants[k])
 		}
 		kept = max(kept, a.reserved(now, class))
-		if n := min(w.Tokens, a.level-kept); n >= minTransfer {
+		n := min(w.Tokens, a.level-kept)
+		if a.burst >= smallBucket {
+			n = math.Floor(n) // fractions that do not add up to a token would expire
+		}
+		if n >= minTransfer {
 			a.hold(&hold{tokens: n, expires: now.Add(lease.AddClockMargin(spendingTime))})
 			reply.Tokens[k] = n
 		}
