explain: A lost owner is no cause for teams with delegated parts

The line of a refusal names the collector for such teams, and burdockctl explain shows only changes of the collector for it.

TestCutOffInstanceDelegatesNothing checks an instance without contact.

--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -51,8 +51,10 @@
 	Err      string    `json:"err,omitempty"`
 	Owner    string    `json:"owner,omitempty"`
 	Before   string    `json:"before,omitempty"`
-	Version  uint64    `json:"version,omitempty"`
-	Took     int64     `json:"took,omitempty"` // nanoseconds
+	// Collector is the instance that was asked for tokens, for teams without an owner.
+	Collector string `json:"collector,omitempty"`
+	Version   uint64 `json:"version,omitempty"`
+	Took      int64  `json:"took,omitempty"` // nanoseconds
 }
 
 // String formats the line for a terminal.
@@ -73,6 +75,7 @@
 		{"err", l.Err},
 		{"owner", l.Owner},
 		{"before", l.Before},
+		{"collector", l.Collector},
 	} {
 		if f.value != "" {
 			s += fmt.Sprintf(" %s=%q", f.name, f.value)
@@ -176,6 +179,9 @@
 		return isGroupLine(l) && (l.Msg == "group: change of primary begins" || l.Msg == "group: primary does not answer")
 	})
 	isLimitLine := func(l Line) bool {
+		if outcome.Collector != "" {
+			return strings.HasPrefix(l.Msg, "limit: collector") && (l.Msg != "limit: collector" || l.Before != "")
+		}
 		return strings.HasPrefix(l.Msg, "limit:") && !(l.Msg == "limit: owner" && l.Owner == l.Before)
 	}
 	switch {
--- a/core/explain/explain_test.go
+++ b/core/explain/explain_test.go
@@ -10,6 +10,7 @@
 // explanation.
 func TestExplain(t *testing.T) {
 	const limit = `{"time":"2026-12-04T10:00:05Z","msg":"request: over the limit","id":"x","team":"red","route":"r"}`
+	const collected = `{"time":"2026-12-04T10:00:05Z","msg":"request: over the limit","id":"x","team":"red","collector":"b"}`
 	const refused = `{"time":"2026-12-04T10:00:05Z","msg":"request: not served","id":"x","group":"g",`
 	for _, test := range []struct {
 		name  string
@@ -20,6 +21,8 @@
 		{"over the rate", []string{limit}, CauseLimit, 1},
 		{"owner lost", []string{limit, `{"time":"2026-12-04T10:00:04Z","msg":"limit: owner","owner":"b","before":"a"}`}, CauseOwner, 2},
 		{"owner lost long before", []string{limit, `{"time":"2026-12-04T09:59:04Z","msg":"limit: owner","owner":"b","before":"a"}`}, CauseLimit, 1},
+		{"collector lost", []string{collected, `{"time":"2026-12-04T10:00:04Z","msg":"limit: collector","collector":"b","before":"a"}`}, CauseOwner, 2},
+		{"collected, owner lost", []string{collected, `{"time":"2026-12-04T10:00:04Z","msg":"limit: lease not written"}`}, CauseLimit, 1},
 		{"key withdrawn", []string{refused + `"code":"denied"}`, `{"time":"2026-12-04T10:00:04Z","msg":"config: in force","version":7}`}, CauseKey, 2},
 		{"no route", []string{`{"time":"2026-12-04T10:00:05Z","msg":"request: refused","id":"x","code":"nodatabase"}`}, CauseRoute, 1},
 		{"instance alone", []string{refused + `"code":"busy","why":"the configuration is not confirmed"}`, `{"time":"2026-12-04T10:00:00Z","msg":"store: no answer"}`}, CauseAlone, 2},
--- a/core/quota/collector.go
+++ b/core/quota/collector.go
@@ -45,6 +45,7 @@
 	sum       float64 // of the parts in force, as of the last step
 	steppedAt time.Time
 	accounts  map[string]*account
+	active    map[string]*account // those with recent demand, which may be short of tokens
 	holders   map[string]*seenRequests
 	lastSweep time.Time
 	lenders   []string // other collectors, nearest first
@@ -114,7 +115,7 @@
 func NewCollector(now time.Time, run, self string) *Collector {
 	return &Collector{
 		run: run, self: self, start: now, steppedAt: now, parts: make(map[string]delegatedPart),
-		accounts: make(map[string]*account), holders: make(map[string]*seenRequests), pairs: make(map[string]*lenderPair),
+		accounts: make(map[string]*account), active: make(map[string]*account), holders: make(map[string]*seenRequests), pairs: make(map[string]*lenderPair),
 	}
 }
 
@@ -131,6 +132,7 @@
 		}
 		if a.whole = (config.Team{}); a.outstanding < tokenError {
 			delete(c.accounts, name)
+			delete(c.active, name)
 		}
 		a.scale(0, 0)
 	}
@@ -295,6 +297,7 @@
 		}
 		a.advance(now)
 		a.countDemand(now, r.From, w)
+		c.active[w.Team] = a
 		short = short || a.shortfall(now) > tokenError && !a.exhausted(now, c.lenders)
 	}
 	return short
@@ -326,6 +329,7 @@
 		g := Grant{Team: w.Team, Retry: maxRetry}
 		if a := c.accounts[w.Team]; a != nil && a.whole.Rate > 0 {
 			g = a.grantTokens(now, r.From, r.Seq, w, c.lenders)
+			c.active[w.Team] = a
 		}
 		reply.Grants = append(reply.Grants, g)
 	}
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -104,8 +104,9 @@
 		return nil
 	}
 	out := make(map[string]Transfer)
-	for name, a := range c.accounts {
-		if len(a.wants) == 0 && a.quiet(now) {
+	for name, a := range c.active {
+		if a.quiet(now) {
+			delete(c.active, name)
 			continue
 		}
 		a.advance(now)
--- a/io/node/delegates.go
+++ b/io/node/delegates.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"burdockseam/core/access"
 	"burdockseam/core/config"
 	"burdockseam/core/quota"
 )
@@ -119,6 +120,17 @@
 	return ok
 }
 
+// collectorOf returns the collector that is asked for tokens of a team, or "" if the team is not
+// limited by delegated parts.
+func (d *delegates) collectorOf(team string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.teams[team]; !ok {
+		return ""
+	}
+	return d.preferred
+}
+
 // run advances the state until the context ends.
 func (d *delegates) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -194,6 +206,14 @@
 	}
 }
 
+// takeToken takes a token in the way in which the team is limited.
+func (n *Node) takeToken(ctx context.Context, g access.Grant) (retry time.Duration, ok bool) {
+	if n.delegates.limits(g.Team.Name) {
+		return n.delegates.takeToken(ctx, g.Team.Name, g.Route.Priority, g.Route.TargetLatency/tokenWaitShare)
+	}
+	return n.limits.takeToken(ctx, g.Team.Name, g.Route.TargetLatency/2)
+}
+
 // takeToken takes a token for an operation, and waits for it for maxWait at most. Without a
 // token it returns the time after which another attempt is worthwhile.
 func (d *delegates) takeToken(ctx context.Context, team string, priority int, maxWait time.Duration) (retry time.Duration, ok bool) {
--- a/io/node/delegates_test.go
+++ b/io/node/delegates_test.go
@@ -138,6 +138,33 @@
 	}
 }
 
+// TestCutOffInstanceDelegatesNothing guards against an instance that spends its part after the
+// others may have removed its object and count the fleet without it.
+func TestCutOffInstanceDelegatesNothing(t *testing.T) {
+	n := newDelegatingNode(t, 100, 0)
+	for _, i := range n.snapshot.Load().instances {
+		if i.Address != n.self.Address {
+			n.recordNoAnswer(i.Address, errors.New("no answer"))
+			n.recordNoAnswer(i.Address, errors.New("no answer"))
+		}
+	}
+	began := n.now()
+	n.contactAt.Store(&began)
+	n.tables.unansweredSince[KindInstance] = began // the store does not answer
+	for _, test := range []struct {
+		after time.Duration
+		parts bool
+	}{{time.Second, true}, {cutOffAfter - time.Second, true}, {cutOffAfter + time.Second, false}, {cutOffAfter + 5*time.Second, false}} {
+		n.now = func() time.Time { return began.Add(test.after) }
+		n.tables.now = n.now
+		n.delegates.step()
+		n.delegates.step()
+		if got := n.delegates.sum() > 0; got != test.parts {
+			t.Errorf("after %v: got parts %v, want %v", test.after, got, test.parts)
+		}
+	}
+}
+
 // TestLendUnknownTeam guards against a peer that asks for a team which is not configured here.
 func TestLendUnknownTeam(t *testing.T) {
 	n := newDelegatingNode(t, 100, 0)
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -185,21 +185,17 @@
 		return grant, call.Reply{}
 	}
 	n.metrics.countLimitOutcome("refused")
-	n.log.Info("request: over the limit", "id", id, "team", grant.Team.Name, "route", grant.Route.Name, "rate", grant.Team.Rate, "burst", grant.Team.Burst, "retry", retry)
+	log := n.log
+	if collector := n.delegates.collectorOf(grant.Team.Name); collector != "" {
+		log = log.WithValues("collector", collector)
+	}
+	log.Info("request: over the limit", "id", id, "team", grant.Team.Name, "route", grant.Route.Name, "rate", grant.Team.Rate, "burst", grant.Team.Burst, "retry", retry)
 	n.metrics.increment("burdockseam_refused_total{reason=\"limit\"}")
 	r := call.Refusal(call.Busy, "over the team's rate")
 	r.Retry = retry
 	return grant, r
 }
 
-// takeToken takes a token in the way in which the team is limited.
-func (n *Node) takeToken(ctx context.Context, g access.Grant) (retry time.Duration, ok bool) {
-	if n.delegates.limits(g.Team.Name) {
-		return n.delegates.takeToken(ctx, g.Team.Name, g.Route.Priority, g.Route.TargetLatency/tokenWaitShare)
-	}
-	return n.limits.takeToken(ctx, g.Team.Name, g.Route.TargetLatency/2)
-}
-
 // tokenWaiter is an operation that waits for a grant of the owner or for a loan.
 type tokenWaiter struct {
 	ticket  uint64 // of the quota holder; 0 if the owner is not asked
