usage: A holder keeps its windows when the store was away for longer than its lease

Cause: in TestSoak with restorations, a holder whose lease had ended during an outage gave up the windows of that time when the store came back from a copy, although no other instance could have reported them.

Change: the memory of a holder counts as the newest state until a successor can have taken over, which without fencing is a lease longer than before. The instances of TestSoak make usage reports, which the stand-in checks. The log line of a takeover is written only if the record is held afterwards.

--- a/core/usage/failures_test.go
+++ b/core/usage/failures_test.go
@@ -128,6 +128,10 @@
 			name: "the store is restored from an older copy", at: 3 * time.Second,
 			cause: func(w *world) { w.restore(14) },
 		},
+		{
+			name: "the store is down for longer than a lease and comes back from a copy", unfenced: true, at: 3 * time.Second, lasts: 4 * time.Second,
+			cause: func(w *world) { w.storeUp = false }, end: func(w *world) { w.restore(14); heal(w) },
+		},
 		{
 			name: "the store is restored and the gatherer lost", at: 3 * time.Second, lost: 3,
 			cause: func(w *world) { w.restore(14); holderOf(w).up = false },
--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -202,9 +202,9 @@
 	g.at, g.known, g.doubt = at, true, false
 	g.maxToken = max(g.maxToken, r.Token)
 	switch {
-	case at.Revision == 0 && g.owns && now.Before(g.valid):
-		// The store came back from a copy. No other instance has acted since this one renewed
-		// its record, so its memory is the newest state.
+	case at.Revision == 0 && g.owns && now.Before(g.valid.Add(g.settleTime())):
+		// The store came back from a copy. No successor can have waited long enough since this
+		// instance renewed its record, so its memory is the newest state.
 	case era == at.Era && at.Revision > 0 && r.Run == g.o.Run && r.Token > g.refused && (g.owns || r.Beat == g.pending.Beat):
 		g.owns, g.record = true, r
 		if r.Beat == g.pending.Beat {
@@ -227,14 +227,17 @@
 	if g.o.without == guardWait {
 		return 0
 	}
-	if g.o.Unfenced && g.o.without != guardSettle {
-		wait += g.settleTime()
-	}
-	return wait
+	return wait + g.settleTime()
 }
 
-// settleTime is the time within which a call that got no answer is carried out.
-func (g *Gatherer) settleTime() time.Duration { return g.o.Lease }
+// settleTime is the time after the end of a lease within which a call that got no answer may
+// be carried out. With fencing it makes no difference.
+func (g *Gatherer) settleTime() time.Duration {
+	if !g.o.Unfenced || g.o.without == guardSettle {
+		return 0
+	}
+	return g.o.Lease
+}
 
 // PrepareWrite returns the record to write if a write is due: a takeover, a renewal or the
 // sealing of windows. Fleet is the fleet clock. One write is under way at a time; the caller
--- a/io/node/usage.go
+++ b/io/node/usage.go
@@ -312,7 +312,7 @@
 		u.n.log.Info("usage: windows given up", "window", first, "windows", givenUp, "token", r.Token)
 		u.n.metrics.set.GetOrCreateCounter("burdockseam_usage_lost_total").Add(givenUp)
 	}
-	if held == "" {
+	if now, _ := u.gatherer.Holder(u.n.now()); held == "" && now != "" {
 		u.n.log.Info("usage: reports taken over", "token", r.Token, "era", stored.Era, "next", r.Next, "open", len(r.Open))
 	}
 }
