health: A stalled gateway and a new one do not misjudge an upstream

Under the race detector beside other work, TestReadsAvoidBadUpstream missed its bounds in five cases of 6 runs. Two causes are in the code: while the gateway's own process stalls, all reads under way look unanswered, so that an upstream is avoided although all are slow together; and a gateway that has just taken over reports a failing share of 0 after few reads, which returns an avoided upstream. The second is inferred from the code and was not traced.

Silence counts only if the upstream has answered nothing for as long; a time counts as four times the high percentile at most; a time is reported from five answers on, and instances keep what they know until then.

--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -60,6 +60,15 @@
 			}
 			return now.Add(150 * ms)
 		}, 25 * ms, 200 * ms, AvoidFailing, 0.5},
+		{"the gateway was frozen for 3 s", func(m *Meter, now time.Time) time.Time {
+			now = feed(m, now, 100, 15*ms, 0)
+			for range 6 {
+				m.Begin(now, true)
+			}
+			m.End(now, now.Add(3*time.Second), true, Good)
+			return now.Add(3 * time.Second)
+		}, 15 * ms, 40 * ms, 0, 0},
+		{"a gateway that has just taken over", func(m *Meter, now time.Time) time.Time { return feed(m, now, 4, 15*ms, 0) }, 0, 0, 0, 0},
 		{"callers with little time left", func(m *Meter, now time.Time) time.Time {
 			now = feed(m, now, 100, 15*ms, 0)
 			for range 50 {
--- a/core/health/meter.go
+++ b/core/health/meter.go
@@ -32,6 +32,10 @@
 	lateFactor = 4
 	// leastLate is the least time after which an unanswered read counts as a failure.
 	leastLate = 50 * time.Millisecond
+	// leastAnswers is the number of answers from which a service time is reported. Instances keep
+	// what they know until then: the few good answers to a gateway that has just taken over do
+	// not outweigh what its predecessor has seen.
+	leastAnswers = 5
 	// highPercentile is the share of reads that is faster than High.
 	highPercentile = 0.95
 )
@@ -113,6 +117,10 @@
 	switch o {
 	case Good:
 		m.good++
+		if m.good >= leastAnswers {
+			// A frozen gateway sees a long time at each read that was under way.
+			took = min(took, m.lateAfter())
+		}
 		m.reads.add(took, min(longWindow, max(leastKeptTimes, faded)))
 	case Late:
 		m.bad++
@@ -129,15 +137,19 @@
 
 // Figures returns the service time and the failing share. Reads that have been without an answer
 // for long count, so that an upstream that does not answer at all is noticed before the time-outs
-// of its reads.
+// of its reads. A gateway that was frozen itself has an answer first.
 func (m *Meter) Figures(now time.Time) Figures {
-	bad := m.bad
+	bad, excess := m.bad, time.Duration(0)
 	waited, total := m.open.ages(now)
-	if m.open.count > 0 && waited > m.lateAfter() {
+	if late := m.lateAfter(); m.open.count > 0 && waited > late && now.Sub(m.answeredAt) > late {
 		bad += float64(m.open.count)
+		excess = max(0, total-time.Duration(m.open.count)*m.reads.high())
+	}
+	f := Figures{Failing: bad / (m.good + bad + priorReads)}
+	if m.good+bad >= leastAnswers {
+		f.Service = m.reads.mean(excess)
 	}
-	excess := max(0, total-time.Duration(m.open.count)*m.reads.high())
-	return Figures{Service: m.reads.mean(excess), Failing: bad / (m.good + bad + priorReads)}
+	return f
 }
 
 // High returns a high percentile of the time of reads, or 0 if it is not known.
