node: Watchers of a large fleet ping a third of the gateways a round; one rule for waiting

Twelve watchers ping up to 48 gateways every half second.

Change: 16 a round where the platform checks fencing tokens; a gateway that missed a ping still comes first in the next round. Without fencing it stays 48, since contact there decides about the use of primaries. A statement without a primary has one rule now.

--- a/io/node/pings.go
+++ b/io/node/pings.go
@@ -31,9 +31,13 @@
 	// removes the objects of lost instances.
 	randomPings      = 1
 	ownerRandomPings = 6
-	// maxGatewayPings bounds the gateways that a watcher pings in each round. Two watchers
-	// of a failure domain then ping each of a hundred gateways about every half second.
-	maxGatewayPings = 48
+	// maxGatewayPings bounds the gateways that a watcher pings in each round. These pings were
+	// about a tenth of the bytes between failure domains with three times as many. A gateway
+	// that misses a ping comes first in the next round, and statements notice a lost one, too.
+	maxGatewayPings = 16
+	// maxContactPings replaces maxGatewayPings on a platform without fencing, where an instance
+	// stops using primaries if it has not heard from most gateways for contactTimeout.
+	maxContactPings = 48
 	// suspectPingShare is the share of the suspect instances that is pinged in each round,
 	// so that an instance that has recovered is used again within seconds.
 	suspectPingShare = 0.4
@@ -117,7 +121,7 @@
 }
 
 // gatewaysToPing returns the gateways that a watcher pings in this round: those that have
-// not answered the last ping, and as many others as maxGatewayPings allows.
+// not answered the last ping, and as many others as pingsPerRound allows.
 func (n *Node) gatewaysToPing(s *snapshot) []placement.Instance {
 	var list []placement.Instance
 	seen := make(map[string]bool)
@@ -140,7 +144,15 @@
 		return 1
 	}
 	slices.SortStableFunc(list, func(a, b placement.Instance) int { return cmp.Compare(pingOrder(a), pingOrder(b)) })
-	return list[:min(maxGatewayPings, len(list))]
+	return list[:min(n.pingsPerRound(), len(list))]
+}
+
+// pingsPerRound returns the number of gateways that a watcher pings in each round.
+func (n *Node) pingsPerRound() int {
+	if n.settings().Unfenced {
+		return maxContactPings
+	}
+	return maxGatewayPings
 }
 
 // storeless reports whether the store has not answered this instance for storelessAfter.
--- a/io/node/repeat.go
+++ b/io/node/repeat.go
@@ -50,21 +50,6 @@
 	return outcome == "repeated"
 }
 
-// waitRule says for how long a statement waits for a primary.
-type waitRule string
-
-// The rules. Which one serves callers better takes a measurement of whole days; waitingRule
-// selects it.
-const (
-	// waitTimeout lets a statement wait for the timeout of its route.
-	waitTimeout waitRule = "timeout"
-	// waitTarget refuses a statement at once if the group is known to have no primary and will
-	// not have one within a share of the target latency.
-	waitTarget waitRule = "target"
-
-	waitingRule = waitTarget
-)
-
 const (
 	// waitShare is the share of the target latency for which a statement may be held without
 	// having been offered to an upstream.
@@ -78,9 +63,9 @@
 
 // refuseWait decides whether a statement for which no upstream can be chosen is refused now. The
 // deadline is the statement's timeout after its start.
-func (n *Node) refuseWait(rule waitRule, op *caller.Operation, deadline time.Time) (call.Reply, bool) {
+func (n *Node) refuseWait(op *caller.Operation, deadline time.Time) (call.Reply, bool) {
 	r, now := op.Grant.Route, n.now()
-	if rule == waitTimeout || !n.settings().Adaptive || r.TargetLatency <= 0 {
+	if !n.settings().Adaptive || r.TargetLatency <= 0 {
 		return call.Reply{}, false
 	}
 	remaining := n.health.untilPrimary(r.Group, now)
--- a/io/node/repeat_test.go
+++ b/io/node/repeat_test.go
@@ -86,22 +86,25 @@
 func TestWaitForPrimary(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		rule   waitRule
 		target time.Duration
 		waited time.Duration
 		lost   time.Duration // for how long the group has no primary; negative if it has one
+		plain  bool          // without Settings.Adaptive
 		refuse bool
 	}{
-		{"a primary is there", waitTarget, 400 * time.Millisecond, 0, -1, false},
-		{"just lost", waitTarget, 400 * time.Millisecond, 0, 0, true},
-		{"soon back", waitTarget, 400 * time.Millisecond, 0, 420 * time.Millisecond, true}, // expected for another half of its time
-		{"soon back, long target", waitTarget, time.Second, 0, 420 * time.Millisecond, false},
-		{"long target, most of it over", waitTarget, time.Second, 200 * time.Millisecond, 420 * time.Millisecond, true},
-		{"no target", waitTarget, 0, 0, 0, false},
-		{"the rule without the contract", waitTimeout, 400 * time.Millisecond, 0, 0, false},
+		{"a primary is there", 400 * time.Millisecond, 0, -1, false, false},
+		{"just lost", 400 * time.Millisecond, 0, 0, false, true},
+		{"soon back", 400 * time.Millisecond, 0, 420 * time.Millisecond, false, true}, // expected for another half of its time
+		{"soon back, long target", time.Second, 0, 420 * time.Millisecond, false, false},
+		{"long target, most of it over", time.Second, 200 * time.Millisecond, 420 * time.Millisecond, false, true},
+		{"no target", 0, 0, 0, false, false},
+		{"without the contract", 400 * time.Millisecond, 0, 0, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n, now := newAdaptiveNode(t)
+			settings := *n.settings()
+			settings.Adaptive = !c.plain
+			n.activeSettings.Store(&settings)
 			if c.lost >= 0 {
 				n.health.observePrimary("g0", true)
 				*now = now.Add(c.lost)
@@ -109,7 +112,7 @@
 			op := newReadOperation(n, access.Primary)
 			op.Grant.Route.TargetLatency = c.target
 			deadline := now.Add(op.Grant.Route.Timeout - c.waited)
-			r, refused := n.refuseWait(c.rule, op, deadline)
+			r, refused := n.refuseWait(op, deadline)
 			if refused != c.refuse {
 				t.Fatalf("refused: %t, want %t", refused, c.refuse)
 			}
@@ -117,7 +120,7 @@
 				t.Errorf("reply %+v", r)
 			}
 			n.health.observePrimary("g0", false)
-			if _, refused := n.refuseWait(c.rule, op, deadline); refused {
+			if _, refused := n.refuseWait(op, deadline); refused {
 				t.Error("refused although the primary is back")
 			}
 		})
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -126,7 +126,7 @@
 			if failed.Code != call.OK {
 				return failed
 			}
-			if r, refused := n.refuseWait(waitingRule, op, deadline); refused && !ran {
+			if r, refused := n.refuseWait(op, deadline); refused && !ran {
 				return r
 			}
 			if !n.waitForChange(ctx, next, deadline) {
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -57,7 +57,7 @@
 	answered := 0
 	for _, i := range pinged {
 		r := n.peerStates[i.Address]
-		if i.Address == n.self.Address || r != nil && now.Sub(r.pongAt) < contactWindow(len(pinged)) {
+		if i.Address == n.self.Address || r != nil && now.Sub(r.pongAt) < contactWindow(len(pinged), n.pingsPerRound()) {
 			answered++
 		}
 	}
@@ -66,15 +66,15 @@
 
 // contactWindow returns the time within which an instance pings each of the given number of
 // instances and has their answers.
-func contactWindow(pinged int) time.Duration {
-	return pingInterval*time.Duration(1+pinged/maxGatewayPings) + pingTimeout
+func contactWindow(pinged, perRound int) time.Duration {
+	return pingInterval*time.Duration(1+pinged/perRound) + pingTimeout
 }
 
 // silentTimeout returns the time for which the order of a promotion waits for instances that
 // did not answer its announcement, if the old primary could not be demoted. Until then they
 // have lost contact: at a watcher, at those that it tells, and in calls that are under way.
 func silentTimeout(instances int) time.Duration {
-	return contactWindow(instances) + contactTimeout + pingInterval
+	return contactWindow(instances, maxContactPings) + contactTimeout + pingInterval
 }
 
 // runContactChecks lets an instance that has had no contact for storeContactAfter go on with
