--- a/core/quota/collector.go
+++ b/core/quota/collector.go
@@ -4,7 +4,7 @@
 // instance delegates its part of all rates and bursts to a collector of its failure domain
 // (delegate.go), so a collector is an owner of the teams scaled by the sum of these parts.
 //
-// Rate bound: a collector keeps level + outstanding ≤ sum × burst for each team, where
+// Rate bound: a collector keeps level + outstanding ≤ sum × (burst + spare) for each team, where
 // outstanding counts the own tokens that holders may still spend and those transferred to
 // other collectors (transfer.go). Only refill raises level + outstanding, by at most
 // sum × rate × time. No part counts at two collectors at a time, so over all collectors the
@@ -23,8 +23,8 @@
 const (
 	// CollectorInterval is the time between two steps of a collector.
 	CollectorInterval = 100 * time.Millisecond
-	// maxStepGap is the time after a step for which its sum of the parts is used. Parts that
-	// end within it are left out of the sum.
+	// maxStepGap is the time after a step for which its sum of the parts is used if the process
+	// runs. Parts that end within it are left out of the sum.
 	maxStepGap = 150 * time.Millisecond
 	// collectorDemandTime is the time constant of the exponential average of the demand.
 	collectorDemandTime = time.Second
@@ -42,7 +42,8 @@
 	start     time.Time
 	parts     map[string]delegatedPart // by address of the delegating instance
 	spare     float64
-	sum       float64 // of the parts in force, as of the last step
+	sum       float64   // of the parts in force, as of the last step
+	sumUntil  time.Time // when the first of these parts ends
 	steppedAt time.Time
 	accounts  map[string]*account
 	active    map[string]*account // those with recent demand, which may be short of tokens
@@ -159,11 +160,11 @@
 }
 
 // Step brings the sum of the parts up to date. Between two steps the sum is constant, and it
-// leaves out the parts that end in the meantime. After a pause of the process nothing is
-// refilled for the time in which parts may have ended.
+// leaves out the parts that end soon. After a pause of the process nothing is refilled for the
+// time in which a part of the sum may have ended.
 func (c *Collector) Step(now time.Time) {
-	limit := c.steppedAt.Add(maxStepGap)
-	sum := 0.0
+	limit := c.sumUntil
+	sum, until := 0.0, now.Add(delegationLife)
 	for address, p := range c.parts {
 		if p.until.Before(now.Add(maxStepGap)) {
 			if !p.until.After(now) {
@@ -172,13 +173,18 @@
 			continue
 		}
 		sum += p.part
+		if p.part > 0 && p.until.Before(until) {
+			until = p.until
+		}
 	}
 	sum = min(1, sum)
-	paused := now.After(limit)
+	paused := c.sum > 0 && now.After(limit)
 	if paused || math.Abs(sum-c.sum) > 1e-9 {
 		for _, a := range c.accounts {
 			if paused {
-				a.advance(limit)
+				if limit.After(a.refilledTo) {
+					a.advance(limit)
+				}
 				a.refilledTo = now
 			}
 			a.advance(now)
@@ -186,7 +192,7 @@
 		}
 		c.sum = sum
 	}
-	c.steppedAt = now
+	c.steppedAt, c.sumUntil = now, until
 	if now.Sub(c.lastSweep) > holderLifetime {
 		c.lastSweep = now
 		for name, s := range c.holders {
@@ -345,7 +351,7 @@
 	a.countDemand(now, holder, w)
 	g := Grant{Team: w.Team}
 	wanted := a.wants[holder]
-	total, waiting := a.totalWants(now)
+	total, _ := a.totalWants(now)
 	barred, least := 0, a.leastUrgent(now)
 	for class := range Classes {
 		if wanted.tokens[class] == 0 {
@@ -400,7 +406,6 @@
 	}
 	a.scarceAt = now
 	g.Pace = supply / float64(len(a.wants))
-	g.Backlog = secondsToDuration(min(2*maxBacklog.Seconds(), max(0, float64(waiting)-a.level-a.lent())/supply))
 	return g
 }
 
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -244,7 +244,7 @@
 	if len(t.waiting) == 0 && t.spendToken(now) {
 		return Decision{Outcome: Granted, TickNow: t.stock < t.lowStock && t.pendingTokens == 0 && !now.Before(t.retryAt)}
 	}
-	if wait := t.backlog - now.Sub(t.backlogAt); wait >= maxBacklog || len(t.waiting) >= t.maxWaitingRequests() {
+	if wait := t.backlog - now.Sub(t.backlogAt); wait >= maxBacklog || t.waitingBefore(class) >= t.maxWaitingRequests() {
 		return Decision{Outcome: Refused, Retry: max(wait, minRetry)}
 	}
 	if t.hopeless(now, class, t.waitingBefore(class)+1, maxWait) {
--- a/core/quota/mode.go
+++ b/core/quota/mode.go
@@ -9,6 +9,7 @@
 // and the first complete tables apply without one.
 
 import (
+	"slices"
 	"time"
 
 	"burdockseam/core/config"
@@ -30,6 +31,9 @@
 	// returnShare is the part of the number of instances at which a team is limited by the
 	// reserve again, so that the join and the loss of single instances do not change the way.
 	returnShare = 0.8
+	// settleDelay is the time for which a fleet must have grown before that changes how a team is
+	// limited. The object of a lost instance is removed within half of it.
+	settleDelay = time.Minute
 	// shrinkDelay is the time after which a lower number of instances applies. A running
 	// instance whose object was removed writes it again within 13 s.
 	shrinkDelay = 15 * time.Second
@@ -57,6 +61,8 @@
 	completeAt time.Time // zero before the first complete tables
 	sizes      []fleetSize
 	grownAt    time.Time
+	settled    int       // number of instances that decides how teams are limited
+	grewAt     time.Time // since when there are more; zero if there are not
 }
 
 type teamMode struct {
@@ -77,15 +83,19 @@
 // limited by delegated parts. If next is not zero, a pause ends then and Update is due again.
 func (m *Modes) Update(now time.Time, f Fleet, teams map[string]config.Team) (owned, delegated map[string]config.Team, next time.Time) {
 	owned, delegated = make(map[string]config.Team), make(map[string]config.Team)
+	first := f.Complete && m.completeAt.IsZero()
+	if first {
+		m.completeAt = now
+	}
 	m.observeSize(now, f)
+	if f.Complete {
+		f.Instances = m.settled
+	}
 	for name := range m.teams {
-		if _, ok := teams[name]; !ok || m.completeAt.IsZero() {
+		if _, ok := teams[name]; !ok || first || m.completeAt.IsZero() {
 			delete(m.teams, name)
 		}
 	}
-	if f.Complete && m.completeAt.IsZero() {
-		m.completeAt = now
-	}
 	for name, t := range teams {
 		mode, known := m.teams[name]
 		if want := f.Complete && f.Delegates && localPartTooSmall(t, f, mode.delegated); !known {
@@ -105,6 +115,9 @@
 			owned[name] = t
 		}
 	}
+	if !m.grewAt.IsZero() && (next.IsZero() || m.grewAt.Add(settleDelay).Before(next)) {
+		next = m.grewAt.Add(settleDelay)
+	}
 	return owned, delegated, next
 }
 
@@ -138,6 +151,7 @@
 	if last >= 0 && f.Instances > m.sizes[last].instances {
 		m.grownAt = now
 	}
+	m.settleSize(now, f.Instances)
 	if last >= 0 && m.sizes[last].instances == f.Instances {
 		m.sizes[last].until = now
 		return
@@ -146,6 +160,27 @@
 		m.sizes[last].until = now
 	}
 	m.sizes = append(m.sizes, fleetSize{f.Instances, now})
+	m.dropOldSizes(now)
+}
+
+// dropOldSizes removes the sizes that no longer count, but not the newest one.
+func (m *Modes) dropOldSizes(now time.Time) {
+	last := m.sizes[len(m.sizes)-1]
+	m.sizes = slices.DeleteFunc(m.sizes, func(s fleetSize) bool { return s != last && now.Sub(s.until) >= shrinkDelay })
+}
+
+// settleSize sets the number of instances that decides how teams are limited. Growth counts only
+// once it has lasted for settleDelay: a replacement counts beside the object of the instance
+// that it replaces, and each change of the way refuses the teams for some seconds.
+func (m *Modes) settleSize(now time.Time, instances int) {
+	switch {
+	case instances <= m.settled || now.Sub(m.completeAt) < youngTime:
+		m.settled, m.grewAt = instances, time.Time{}
+	case m.grewAt.IsZero():
+		m.grewAt = now
+	case now.Sub(m.grewAt) >= settleDelay:
+		m.settled, m.grewAt = instances, time.Time{}
+	}
 }
 
 // Part returns the part of all limits that the instance may delegate. A lower number of
@@ -155,14 +190,10 @@
 	if len(m.sizes) == 0 || now.Sub(m.completeAt) < youngTime && now.Sub(m.grownAt) < growthPause {
 		return 0
 	}
-	last := len(m.sizes) - 1
-	n, kept := m.sizes[last].instances, m.sizes[:0]
-	for k, s := range m.sizes {
-		if k == last || now.Sub(s.until) < shrinkDelay {
-			kept = append(kept, s)
-			n = max(n, s.instances)
-		}
+	m.dropOldSizes(now)
+	n := 1
+	for _, s := range m.sizes {
+		n = max(n, s.instances)
 	}
-	m.sizes = kept
-	return 1 / float64(max(1, n))
+	return 1 / float64(n)
 }
--- a/core/usage/counter.go
+++ b/core/usage/counter.go
@@ -143,12 +143,17 @@
 // still be gathered in time.
 const maxPushRate = 70
 
+// pushPeriod returns the longest time between two pushes of an instance.
+func pushPeriod(instances int, window, delay time.Duration) time.Duration {
+	period := max(time.Second, time.Duration(float64(instances)/maxPushRate*float64(time.Second)))
+	return min(period, delay/2, window)
+}
+
 // PushTime returns the first time after the given one of the fleet clock at which an instance
 // pushes. Pushes are spread over the fleet: phase, from 0 to 1, differs between instances. The
 // first push of each window completes the counts of the window before.
 func PushTime(after time.Time, phase float64, instances int, window, delay time.Duration) time.Time {
-	period := max(time.Second, time.Duration(float64(instances)/maxPushRate*float64(time.Second)))
-	period = min(period, delay/2, window)
+	period := pushPeriod(instances, window, delay)
 	spacing := window / max(1, window/period)
 	start := WindowEnd(WindowAt(after, window)-1, window)
 	t := start.Add(after.Sub(start).Truncate(spacing)).Add(time.Duration(phase * float64(spacing)))
--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -31,9 +31,10 @@
 	// lastResort is the time after a window's end at which it is sealed without the counts of
 	// most of the fleet. Instances keep their counts until LateLimit.
 	lastResort = LateLimit - 5*time.Second
-	// heardTimeout is the time for which a push counts as contact: some pushes of the longest
-	// period in use.
-	heardTimeout = 6 * time.Second
+	// minHeardTimeout is the least time for which a push counts as contact, and heardPeriods the
+	// number of periods of pushes.
+	minHeardTimeout = 6 * time.Second
+	heardPeriods    = 3
 	// retryInterval is the time between two attempts of a call or of a write.
 	retryInterval = time.Second
 	// maxParts bounds the number of counts in Record.Parts. An object may have 1 MB, and a
@@ -108,11 +109,20 @@
 	r.windows = p.Windows
 }
 
+// heardTimeout returns the time for which a push counts as contact.
+func (g *Gatherer) heardTimeout() time.Duration {
+	return max(minHeardTimeout, heardPeriods*pushPeriod(len(g.fleet.Runs), g.o.Window, g.o.Delay))
+}
+
+// LeaseEnd returns the end of the own lease. A call of the platform must not last longer: the
+// successor counts the time in which it may still be carried out from there.
+func (g *Gatherer) LeaseEnd() time.Time { return g.valid }
+
 // heard returns the number of known runs that pushed a short time ago.
 func (g *Gatherer) heard(now time.Time) int {
-	n := 0
+	n, timeout := 0, g.heardTimeout()
 	for _, id := range g.fleet.Runs {
-		if r := g.runs[id]; r != nil && now.Sub(r.at) < heardTimeout {
+		if r := g.runs[id]; r != nil && now.Sub(r.at) < timeout {
 			n++
 		}
 	}
@@ -121,7 +131,10 @@
 
 // hasMost reports whether half of the known instances or more pushed a short time ago. Half is
 // enough, so that one of two instances goes on alone; the record has one holder in any case.
-func (g *Gatherer) hasMost(now time.Time) bool { return 2*g.heard(now) >= max(1, len(g.fleet.Runs)) }
+func (g *Gatherer) hasMost(now time.Time) bool {
+	// An instance that gathers nothing knows few runs, and need not look up all of the fleet.
+	return 2*len(g.runs) >= len(g.fleet.Runs) && 2*g.heard(now) >= max(1, len(g.fleet.Runs))
+}
 
 // FleetTime returns the fleet clock as the median of the instances' wall clocks. It reports
 // false while most instances have not pushed.
@@ -130,8 +143,9 @@
 		return time.Time{}, false
 	}
 	var offsets []time.Duration
+	timeout := g.heardTimeout()
 	for _, id := range g.fleet.Runs {
-		if r := g.runs[id]; r != nil && now.Sub(r.at) < heardTimeout {
+		if r := g.runs[id]; r != nil && now.Sub(r.at) < timeout {
 			offsets = append(offsets, r.offset)
 		}
 	}
--- a/io/node/collectors.go
+++ b/io/node/collectors.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -66,10 +67,7 @@
 func (d *delegates) firstCollector(s *snapshot, at placement.Place) (address string) {
 	d.mu.Lock()
 	now := d.n.now()
-	quiet := make(map[string]bool, len(d.silent))
-	for a, p := range d.silent {
-		quiet[a] = p.failures >= silentFailures && now.Sub(p.at) < silentTime
-	}
+	silent := maps.Clone(d.silent)
 	d.mu.Unlock()
 	d.n.mu.Lock()
 	defer d.n.mu.Unlock()
@@ -78,7 +76,7 @@
 		case i.Domain != at.Domain:
 			return false
 		case i.Address == d.n.self.Address && d.n.draining.Load():
-		case i.Address == d.n.self.Address, !quiet[i.Address] && !d.n.isUnavailable(i.Address, now):
+		case i.Address == d.n.self.Address, !silent[i.Address].isQuiet(now, d.n.peerStates[i.Address]) && !d.n.isUnavailable(i.Address, now):
 			address = i.Address
 			return false
 		}
@@ -87,6 +85,52 @@
 	return address
 }
 
+// isQuiet reports whether a collector has left calls unanswered and has not answered since.
+// Only an answer to a ping brings it back: one that is chosen again after a time would take the
+// parts of its failure domain away from the collector that works.
+func (p silentPeer) isQuiet(now time.Time, r *peerState) bool {
+	return p.failures >= silentFailures && (now.Sub(p.at) < silentTime || r == nil || !r.lastAnswer.After(p.at))
+}
+
+// pingSilent pings the collectors that do not answer, and forgets those that have answered again
+// or have left the fleet.
+func (d *delegates) pingSilent(s *snapshot) {
+	d.mu.Lock()
+	now := d.n.now()
+	due := now.Sub(d.pingedAt) >= silentPingInterval && len(d.silent) > 0
+	if !due {
+		d.mu.Unlock()
+		return
+	}
+	d.pingedAt = now
+	list := slices.Collect(maps.Keys(d.silent))
+	d.mu.Unlock()
+	for _, address := range list {
+		if _, ok := s.objectNames[address]; ok && !d.hasAnswered(address) {
+			go d.n.ping(context.Background(), address)
+			continue
+		}
+		d.mu.Lock()
+		delete(d.silent, address)
+		d.mu.Unlock()
+	}
+}
+
+// hasAnswered reports whether a collector has answered a ping since its last failed call, and
+// silentTime has passed.
+func (d *delegates) hasAnswered(address string) bool {
+	d.n.mu.Lock()
+	answered := time.Time{}
+	if r := d.n.peerStates[address]; r != nil {
+		answered = r.lastAnswer
+	}
+	d.n.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.silent[address]
+	return answered.After(p.at) && d.n.now().Sub(p.at) >= silentTime
+}
+
 // call calls another instance and records whether it answers.
 func (d *delegates) call(to, method string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), collectorTimeout)
@@ -100,6 +144,7 @@
 	}
 	p := d.silent[to]
 	p.failures, p.at = p.failures+1, d.n.now()
+	d.chosenAt = time.Time{}
 	if d.silent[to] = p; p.failures == silentFailures {
 		d.n.log.Info("limit: collector does not answer", "peer", to, "call", method, "err", err.Error())
 	}
--- a/io/node/delegates.go
+++ b/io/node/delegates.go
@@ -31,6 +31,13 @@
 	// an instance delegates nothing. It is below removeLostAfter: the others may then count the
 	// fleet without this instance.
 	cutOffAfter = 20 * time.Second
+	// countedDelay is the time after an instance has contact and an object again before it
+	// delegates its part: by then the others count it.
+	countedDelay = 5 * time.Second
+	// chooseInterval is the time between two choices of the collectors while nothing changes.
+	chooseInterval = 500 * time.Millisecond
+	// silentPingInterval is the time between two pings of collectors that do not answer.
+	silentPingInterval = time.Second
 )
 
 // delegates is an instance's share in the limits by delegated parts: its own part, its tokens,
@@ -43,6 +50,7 @@
 	inputs    delegateInputs
 	nextMode  time.Time              // when the pause of a team ends; zero if there is none
 	teams     map[string]config.Team // those that are limited by delegated parts
+	spare     float64                // as the collector was configured
 	owned     map[string]config.Team // the others
 	ways      uint64                 // number of changes of owned
 	holder    *quota.Holder
@@ -53,6 +61,19 @@
 	arrived   chan struct{}         // closed and replaced when transferred tokens arrive
 	silent    map[string]silentPeer // by address
 	closed    bool
+	chosen    collectorChoice
+	chosenAt  time.Time // when chosen was made; zero if it must be made again
+	pingedAt  time.Time // when silent collectors were last pinged
+	steppedAt time.Time
+	// uncountedAt is when others may last have counted the fleet without this instance.
+	uncountedAt time.Time
+}
+
+// collectorChoice is the choice of collectors for a snapshot.
+type collectorChoice struct {
+	snapshot  *snapshot
+	preferred string
+	lenders   []string
 }
 
 // delegateInputs are the inputs that tell how each team is limited.
@@ -100,13 +121,13 @@
 		d.owned = owned
 		d.ways++
 	}
-	if maps.Equal(delegated, d.teams) {
+	if maps.Equal(delegated, d.teams) && fleet.Spare == d.spare {
 		return owned, d.ways
 	}
 	if len(delegated) == 0 != (len(d.teams) == 0) {
 		d.n.log.Info("limit: parts delegated", "teams", len(delegated), "instances", s.runningInstances, "supported", s.delegates)
 	}
-	d.teams = delegated
+	d.teams, d.spare = delegated, fleet.Spare
 	d.collector.Configure(now, delegated, fleet.Spare)
 	d.holder.Configure(now, delegated)
 	return owned, d.ways
@@ -153,11 +174,18 @@
 	if idle {
 		return
 	}
-	preferred, lenders := d.chooseCollectors()
+	s := d.n.snapshot.Load()
+	d.pingSilent(s)
+	preferred, lenders := d.currentCollectors(s)
 	cutOff := d.n.storeless() && !d.n.hadContact(cutOffAfter)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.n.now()
+	if cutOff || s.objectNames[d.n.self.Address] == "" || !d.steppedAt.IsZero() && now.Sub(d.steppedAt) > cutOffAfter {
+		d.uncountedAt = now
+	}
+	d.steppedAt = now
+	cutOff = !d.uncountedAt.IsZero() && now.Sub(d.uncountedAt) < countedDelay
 	if preferred != d.preferred {
 		d.n.log.Info("limit: collector", "collector", preferred, "before", d.preferred)
 		d.n.metrics.increment("burdockseam_limit_collectors_total")
@@ -175,6 +203,24 @@
 	}
 }
 
+// currentCollectors returns the collectors to ask. They are chosen again for a new snapshot, after
+// a failed call, and every chooseInterval, since the choice walks over the whole fleet.
+func (d *delegates) currentCollectors(s *snapshot) (preferred string, lenders []string) {
+	d.mu.Lock()
+	now := d.n.now()
+	if d.chosen.snapshot == s && now.Sub(d.chosenAt) < chooseInterval {
+		defer d.mu.Unlock()
+		return d.chosen.preferred, d.chosen.lenders
+	}
+	d.chosenAt = now
+	d.mu.Unlock()
+	preferred, lenders = d.chooseCollectors()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.chosen = collectorChoice{s, preferred, lenders}
+	return preferred, lenders
+}
+
 // delegate sends the delegation that is due. The caller holds the lock.
 func (d *delegates) delegate(now time.Time, cutOff bool) {
 	target, part := d.preferred, d.modes.Part(now)
--- a/io/node/delegates_test.go
+++ b/io/node/delegates_test.go
@@ -174,6 +174,40 @@
 			t.Errorf("after %v: got parts %v, want %v", test.after, got, test.parts)
 		}
 	}
+	// The others may count the fleet without this instance until they have seen it again.
+	delete(n.tables.unansweredSince, KindInstance)
+	for _, test := range []struct {
+		after time.Duration
+		parts bool
+	}{{cutOffAfter + 6*time.Second, false}, {cutOffAfter + 9*time.Second, false}, {cutOffAfter + 12*time.Second, true}} {
+		n.now = func() time.Time { return began.Add(test.after) }
+		n.tables.now = n.now
+		n.delegates.step()
+		n.delegates.step()
+		if got := n.delegates.sum() > 0; got != test.parts {
+			t.Errorf("%v after the link has healed: got parts %v, want %v", test.after-cutOffAfter-5*time.Second, got, test.parts)
+		}
+	}
+}
+
+// TestSilentCollectorStaysAvoided guards against a lost collector that is chosen again and again
+// because nothing but the failed calls shows that it is lost.
+func TestSilentCollectorStaysAvoided(t *testing.T) {
+	n := newDelegatingNode(t, 100, 0)
+	d := n.delegates
+	began := n.now()
+	lost, _ := d.chooseCollectors()
+	d.silent[lost] = silentPeer{silentFailures, began}
+	for _, after := range []time.Duration{0, silentTime + time.Second, time.Minute} {
+		n.now = func() time.Time { return began.Add(after) }
+		if got, _ := d.chooseCollectors(); got == lost {
+			t.Errorf("the collector that does not answer is chosen after %v", after)
+		}
+	}
+	n.recordAnswer(lost)
+	if got, _ := d.chooseCollectors(); got != lost {
+		t.Errorf("collector %s after %s has answered a ping, want %s", got, lost, lost)
+	}
 }
 
 // TestLendUnknownTeam guards against a peer that asks for a team which is not configured here.
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -214,7 +214,9 @@
 	}
 	if !slices.ContainsFunc(s.instances, func(i placement.Instance) bool { return i.Address == n.self.Address }) {
 		s.instances = append(s.instances, n.self)
-		s.runningInstances++
+		if s.objectNames[n.self.Address] == "" {
+			s.runningInstances++ // an instance that is leaving has its object counted
+		}
 	}
 	slices.SortFunc(s.instances, func(a, b placement.Instance) int { return cmp.Compare(a.Address, b.Address) })
 }
--- a/io/node/usage.go
+++ b/io/node/usage.go
@@ -146,7 +146,7 @@
 		go u.updateRecord(ctx)
 	}
 	if r, token, due := u.gatherer.CallDue(now, u.fleetTime(now)); due {
-		go u.report(ctx, now, r, token)
+		go u.report(ctx, now, u.gatherer.LeaseEnd(), r, token)
 	}
 }
 
@@ -354,9 +354,9 @@
 }
 
 // report sends the report of a sealed window to the platform. It was due at the given time; if
-// the process has stood still since, the lease may have ended.
-func (u *usageReports) report(ctx context.Context, due time.Time, r usage.Report, token uint64) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+// the process has stood still since, the lease may have ended. The call ends with the lease.
+func (u *usageReports) report(ctx context.Context, due, leaseEnd time.Time, r usage.Report, token uint64) {
+	ctx, cancel := context.WithTimeout(ctx, min(reportTimeout, leaseEnd.Sub(due)))
 	defer cancel()
 	name := u.n.settings().Name
 	outcome, err := usage.NoAnswer, error(Error.New("the process stood still before the call"))
