--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -515,8 +515,9 @@
 		r.nextCommand = now.Add(retryInterval)
 		return
 	}
+	former := s.Term < c.term
 	c.term = max(c.term, s.Term)
-	if s.Primary {
+	if s.Primary && !former {
 		// Another instance has promoted this upstream, which has ended the pauses. The
 		// replicas are paused again: some may still be paused, and only a promotion ends that.
 		c.setPrimary(now, upstream)
--- a/core/health/gap.go
+++ b/core/health/gap.go
@@ -10,6 +10,9 @@
 	// shortestGap is the shortest gap that is learned from. A gateway that does not reach the
 	// primary makes it look missing until a statement reaches it through another gateway.
 	shortestGap = 100 * time.Millisecond
+	// longestGap bounds what is learned from a gap. An instance without statements for the
+	// primary sees its end late.
+	longestGap = 2 * time.Second
 )
 
 // Gap learns how long a group is without a primary when that changes.
@@ -28,7 +31,7 @@
 		g.began = now
 	case !missing && !g.began.IsZero():
 		if lasted := now.Sub(g.began); lasted >= shortestGap {
-			g.expected += time.Duration(gapWeight * float64(lasted-g.expected))
+			g.expected += time.Duration(gapWeight * float64(min(lasted, longestGap)-g.expected))
 		}
 		g.began = time.Time{}
 	}
--- a/core/health/group.go
+++ b/core/health/group.go
@@ -122,7 +122,10 @@
 		f.Service, f.Failing = s.figures.Service, max(s.figures.Failing, f.Failing)
 	}
 	better := f.Failing < s.figures.Failing || f.Failing == s.figures.Failing && f.Service < s.figures.Service
-	s.figures, s.at = f, now
+	if s.at.IsZero() || f.Service != s.figures.Service || f.Failing != s.figures.Failing {
+		s.at = now // writes repeat the figures of earlier reads
+	}
+	s.figures = f
 	if s.why != "" {
 		others, ok := g.others(now, name, members)
 		if s.goodStreak++; ok && !g.isFine(s, others) {
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -227,7 +227,7 @@
 			if !now.Before(i.Deadline) || due && class != classInTransaction && !q.paused && q.missesDeadline(now, i) {
 				q.refuseRequest(now, i, ReasonDeadline)
 			}
-			if due {
+			if due && !q.paused {
 				i.holdUntil = time.Time{}
 			}
 		}
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -69,6 +69,10 @@
 		if isUpstreamRefusal(err) {
 			err = nil // an answer shows that the upstream is reachable
 		}
+		// A former primary that still accepts transactions must not end the change.
+		ps.mu.Lock()
+		isPrimary = isPrimary && !ps.supersedes(g, u.Name, position)
+		ps.mu.Unlock()
 		if isPrimary {
 			ps.recordProof(g.name, u.Name, sent, position, ps.n.now(), false)
 		}
@@ -190,6 +194,9 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(note.Group)
+	if note.Token < g.pendingPromotion.Token {
+		return // announcements can arrive out of order at an instance that was frozen
+	}
 	g.pendingPromotion, g.pendingPromotionAt = note, ps.n.now()
 	if ps.n.settings().Unfenced && g.primary != note.Upstream {
 		ps.supersede(g, note.Upstream)
--- a/io/node/claims.go
+++ b/io/node/claims.go
@@ -8,11 +8,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"burdockseam/core/call"
 	"burdockseam/core/wal"
+	"burdockseam/io/gateway"
 )
 
 const (
@@ -49,7 +51,7 @@
 	if !g.claimsUnknown || g.locating || now.Before(g.nextClaimCheck) {
 		return
 	}
-	g.claimInterval = min(2*g.claimInterval, maxClaimInterval)
+	g.claimInterval = min(max(2*g.claimInterval, minClaimInterval), maxClaimInterval)
 	g.nextClaimCheck = now.Add(g.claimInterval)
 	go ps.locatePrimary(g.name, true)
 }
@@ -72,7 +74,8 @@
 		ps.mu.Lock()
 		again = g.locateAgain
 		g.locating, g.locateAgain = again, false
-		if g.claimsUnknown = !known; !known && relay {
+		// Without a primary, an upstream that was full or did not act as one yet is probed again.
+		if g.claimsUnknown = !known || relay && g.primary == ""; g.claimsUnknown && relay {
 			g.nextClaimCheck = ps.n.now().Add(g.claimInterval)
 		}
 		ps.mu.Unlock()
@@ -125,7 +128,7 @@
 	defer cancel()
 	t, sent := ps.controlTarget(u), ps.n.now()
 	leads, position, err := ps.n.platform.Controls.IsPrimary(ctx, t)
-	r := roleProbe{upstream: u.Name, sent: sent, leads: err == nil && leads, position: position, answered: err == nil || isUpstreamRefusal(err)}
+	r := roleProbe{upstream: u.Name, sent: sent, leads: err == nil && leads, position: position, answered: err == nil || tellsRole(err)}
 	if r.answered || !relay {
 		return r
 	}
@@ -152,6 +155,13 @@
 	return r
 }
 
+// tellsRole reports whether the refusal of a probe shows that the upstream does not lead. One that
+// is full says nothing: probes of the whole fleet can take up its connections.
+func tellsRole(err error) bool {
+	var r gateway.RefusedError
+	return isUpstreamRefusal(err) && errors.As(err, &r) && r.Code != call.TooMany && r.Code != call.Busy
+}
+
 // termOf returns the highest term that a group is known to have had, or 0.
 func (ps *primaries) termOf(name string) uint64 {
 	ps.mu.Lock()
@@ -159,11 +169,17 @@
 	return ps.group(name).term
 }
 
+// isOutdated reports whether a position was sampled at a term of the group that has ended. A commit
+// that was acknowledged there may be missing in the log of the present primary.
+func (ps *primaries) isOutdated(name string, sample *call.Sample) bool {
+	return sample != nil && sample.Position.Term < ps.termOf(name)
+}
+
 // rejectOutdated replaces a successful reply that depends on the upstream being the primary, if
 // the upstream proved that at a term which has ended. Its rows may lack acknowledged commits.
 func (ps *primaries) rejectOutdated(req call.Request, r call.Reply) call.Reply {
 	needsPrimary := req.Open == call.OpenFence || req.Open == call.OpenWrite
-	if !needsPrimary || r.Code != call.OK || r.Sample == nil || r.Sample.Position.Term >= ps.termOf(req.Group) {
+	if !needsPrimary || r.Code != call.OK || !ps.isOutdated(req.Group, r.Sample) {
 		return r
 	}
 	ps.n.log.Info("route: answer of a former primary rejected", "id", req.Statement.ID, "upstream", req.Upstream, "position", r.Sample.Position.String())
--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -320,6 +320,7 @@
 	for range 100 { // a second
 		for range 10 { // waiting statements
 			if ps.view("g0", now).primary == "u1" {
+				ps.recordAttempt("g0") // sendStatement does so
 				sent++
 			}
 		}
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -162,15 +162,28 @@
 // primaryForStatement returns the upstream to which a statement for the primary is sent, or
 // "" if there is none now. The caller holds the lock.
 func (ps *primaries) primaryForStatement(g *group) string {
-	now := ps.n.now()
-	if now.Before(g.avoidUntil) {
+	if ps.n.now().Before(g.avoidUntil) {
 		return ""
 	}
-	if takesOver(g, now) {
-		// One statement at a time finds out whether the promotion has taken effect.
+	return g.primary
+}
+
+// recordAttempt records that a statement is sent to the primary of a group. One statement at a
+// time finds out whether a promotion has taken effect.
+func (ps *primaries) recordAttempt(name string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if g, now := ps.group(name), ps.n.now(); takesOver(g, now) {
 		g.avoidUntil = now.Add(refusedRetry)
 	}
-	return g.primary
+}
+
+// isPromoting reports whether the group has a promoted primary that has not acted as one yet.
+func (ps *primaries) isPromoting(name string) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	g := ps.group(name)
+	return g.primary != "" && takesOver(g, ps.n.now())
 }
 
 // takesOver reports whether the primary was promoted and has not been seen to act as the
@@ -335,8 +348,13 @@
 // says whether the evidence is an acknowledged commit.
 func (ps *primaries) recordProof(name, upstream string, at time.Time, p wal.Position, now time.Time, commit bool) {
 	ps.mu.Lock()
-	waited := ps.addProof(ps.group(name), upstream, at, p, now, commit)
+	g := ps.group(name)
+	waited := ps.addProof(g, upstream, at, p, now, commit)
+	leads := g.primary == upstream && !takesOver(g, now)
 	ps.mu.Unlock()
+	if leads {
+		ps.n.health.observePrimary(name, false)
+	}
 	if waited {
 		ps.n.wakeStatements()
 	}
@@ -354,6 +372,9 @@
 	}
 	g.term = max(g.term, p.Term)
 	g.floors.Add(at, p)
+	if g.superseded == upstream {
+		g.superseded = "" // a newer promotion than the one that replaced it
+	}
 	if g.primary == upstream {
 		waited = takesOver(g, now) && at.After(g.promotedAt)
 		if at.After(g.provedAt) {
--- a/io/node/repeat.go
+++ b/io/node/repeat.go
@@ -65,7 +65,7 @@
 // deadline is the statement's timeout after its start.
 func (n *Node) refuseWait(op *caller.Operation, deadline time.Time) (call.Reply, bool) {
 	r, now := op.Grant.Route, n.now()
-	if !n.settings().Adaptive || r.TargetLatency <= 0 {
+	if !n.settings().Adaptive || r.TargetLatency <= 0 || n.primaries.isPromoting(r.Group) {
 		return call.Reply{}, false
 	}
 	remaining := n.health.untilPrimary(r.Group, now)
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -350,6 +350,9 @@
 	if c.probe {
 		req.Budget = min(req.Budget, probeBudget(op.Grant.Route))
 	}
+	if c.reason == "primary" {
+		n.primaries.recordAttempt(c.upstream.Group)
+	}
 	n.addInFlight(c.upstream.Name, 1)
 	n.health.recordSent(c, s, began)
 	r := n.callGateway(ctx, c.gateway, req, op)
@@ -359,7 +362,7 @@
 	// The commit of a read-only transaction waits for no replica.
 	commit := r.Code == call.OK && (s.Kind == call.Commit && op.Kind != call.BeginRead || s.IsWrite() && op.Kind == "")
 	n.learnFromReply(c, began, s, r, commit)
-	if commit && n.primaries.mayDropCommit(c.upstream, r.Position) {
+	if commit && (n.primaries.mayDropCommit(c.upstream, r.Position) || n.primaries.isOutdated(c.upstream.Group, r.Sample)) {
 		n.log.Info("route: commit may be dropped by a promotion", "id", s.ID, "upstream", c.upstream.Name, "position", r.Position.String())
 		r = call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.InDoubt, Text: "the primary is being replaced"}}
 	}
