route: The choice of an upstream is split so that it can be explained

Reason: operators ask where a request would go and why. The answer must come from the code that decides, without its effects (a probe or the only attempt at a promoted upstream is taken, metrics, random variation).

Random variation is an argument. The views of a group and the scores of upstreams can be read without taking the attempt or the probe (peekView, peekScores). The calls in repeat_test.go follow the new arguments of expectedCost; what they check is the same. Routing decides as before.

--- a/core/health/cost.go
+++ b/core/health/cost.go
@@ -31,8 +31,9 @@
 	Pace int
 	// Waited is the mean time for which this instance's reads are without an answer.
 	Waited time.Duration
-	// Avoided is set if reads go elsewhere.
+	// Avoided is set if reads go elsewhere, and Why says why.
 	Avoided bool
+	Why     Why
 }
 
 // Scores returns what is expected of the members. Upstreams without any report are left out. In
@@ -48,7 +49,7 @@
 		}
 		waited, _ := s.open.ages(now)
 		age := now.Sub(s.at)
-		score := Score{Waited: waited, Avoided: s.why != ""}
+		score := Score{Waited: waited, Avoided: s.why != "", Why: s.why}
 		if !s.at.IsZero() && age <= figuresAge {
 			faded := math.Exp(-float64(age) / float64(memory))
 			score.Service, score.Failing, score.Pace = s.figures.Service, s.figures.Failing*faded, s.figures.Pace
@@ -63,20 +64,25 @@
 	return out
 }
 
-// ExpectedTime returns the expected time of a read: the queue and the read itself, plus the
-// network, divided by the probability of success. Load is the number of statements that the
-// instance itself has under way, and slots stands in for an unknown pace. Variation is a factor
-// of the time at the upstream; it is 1 for the expected time itself.
-func (s Score) ExpectedTime(load, slots int, network time.Duration, variation float64) time.Duration {
-	service := s.Service
+// Terms returns the service time, the load and the pace that an expected time is made of.
+func (s Score) Terms(load, slots int) (service time.Duration, waiting float64, pace int) {
+	service, pace = s.Service, s.Pace
 	if service == 0 {
 		service = AssumedService
 	}
-	pace := s.Pace
 	if pace <= 0 {
 		pace = max(1, slots)
 	}
-	t := float64(service) * (1 + max(s.Load, float64(load))/float64(pace))
+	return service, max(s.Load, float64(load)), pace
+}
+
+// ExpectedTime returns the expected time of a read: the queue and the read itself, plus the
+// network, divided by the probability of success. Load is the number of statements that the
+// instance itself has under way, and slots stands in for an unknown pace. Variation is a factor
+// of the time at the upstream; it is 1 for the expected time itself.
+func (s Score) ExpectedTime(load, slots int, network time.Duration, variation float64) time.Duration {
+	service, waiting, pace := s.Terms(load, slots)
+	t := float64(service) * (1 + waiting/float64(pace))
 	t = max(t, float64(s.Waited))*variation + float64(network)
 	return time.Duration(t / (1 - min(s.Failing, maxFailing)))
 }
--- a/core/health/group.go
+++ b/core/health/group.go
@@ -304,13 +304,19 @@
 // ProbeInterval is the time between the probes of an avoided upstream by all instances together.
 const ProbeInterval = time.Second
 
-// TakeProbe reports whether a read of this instance may probe an avoided upstream now. The
-// interval is that of this instance, with random variation; good answers shorten it.
-func (g *Group) TakeProbe(now time.Time, name string, interval time.Duration) bool {
+// ProbeDue reports whether a read of this instance may probe an avoided upstream now.
+func (g *Group) ProbeDue(now time.Time, name string) bool {
 	s := g.states[name]
-	if s == nil || s.why == "" || now.Before(s.nextProbe) {
+	return s != nil && s.why != "" && !now.Before(s.nextProbe)
+}
+
+// TakeProbe is ProbeDue for a read that probes the upstream. The interval to the next probe is
+// that of this instance, with random variation; good answers shorten it.
+func (g *Group) TakeProbe(now time.Time, name string, interval time.Duration) bool {
+	if !g.ProbeDue(now, name) {
 		return false
 	}
+	s := g.states[name]
 	s.nextProbe = now.Add(interval / time.Duration(min(maxProbeRate, 1+s.better)))
 	return true
 }
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -244,11 +244,8 @@
 	if len(t.waiting) == 0 && t.spendToken(now) {
 		return Decision{Outcome: Granted, TickNow: t.stock < t.lowStock && t.pendingTokens == 0 && !now.Before(t.retryAt)}
 	}
-	if wait := t.backlog - now.Sub(t.backlogAt); wait >= maxBacklog || len(t.waiting) >= t.maxWaitingRequests() {
-		return Decision{Outcome: Refused, Retry: max(wait, minRetry)}
-	}
-	if t.hopeless(now, class, t.waitingBefore(class)+1, maxWait) {
-		return Decision{Outcome: Refused, Retry: t.retryHint(now)}
+	if retry, refused := t.refuses(now, class, maxWait); refused {
+		return Decision{Outcome: Refused, Retry: retry}
 	}
 	h.lastTicket++
 	t.addWaiter(waiter{ticket: h.lastTicket, at: now, class: class, until: now.Add(maxWait)})
@@ -258,6 +255,18 @@
 	}
 }
 
+// refuses reports whether a request for which no token is in stock is refused at once, and the
+// retry hint, which counts as given.
+func (t *team) refuses(now time.Time, class int, maxWait time.Duration) (retry time.Duration, refused bool) {
+	if wait := t.backlog - now.Sub(t.backlogAt); wait >= maxBacklog || len(t.waiting) >= t.maxWaitingRequests() {
+		return max(wait, minRetry), true
+	}
+	if t.hopeless(now, class, t.waitingBefore(class)+1, maxWait) {
+		return t.retryHint(now), true
+	}
+	return 0, false
+}
+
 // CancelRequest withdraws a waiting request. It reports false if the request does not wait
 // any more.
 func (h *Holder) CancelRequest(name string, ticket uint64) bool {
@@ -276,12 +285,17 @@
 	return int(min(max(1, t.rate*maxBacklog.Seconds()), maxWaitingPerTeam))
 }
 
+// usable reports whether a token of the slice may be spent.
+func (s *heldSlice) usable(now time.Time) bool {
+	return s.left > 0 && !s.closed && now.Before(s.expiresAt())
+}
+
 // spendToken spends a token of the slice that expires first. It reports false if no slice has
 // one.
 func (t *team) spendToken(now time.Time) bool {
 	for i := range t.slices {
 		s := &t.slices[i]
-		if s.left == 0 || s.closed || !now.Before(s.expiresAt()) {
+		if !s.usable(now) {
 			continue
 		}
 		if s.spent == s.confirmedSpent {
--- a/io/node/health.go
+++ b/io/node/health.go
@@ -75,21 +75,40 @@
 // enable them. First says that the operation's statement was not sent yet. A read outside of a
 // transaction may then probe an avoided upstream.
 func (h *upstreamHealth) scores(snap *snapshot, op *caller.Operation, s call.Statement, first bool) map[string]upstreamScore {
+	memory := probeMemory(snap)
+	interval := memory*3/4 + rand.N(memory/2)
+	return h.scoresWith(snap, op, s, first, func(g *health.Group, now time.Time, name string) bool { return g.TakeProbe(now, name, interval) })
+}
+
+// peekScores is scores without taking a probe that is due.
+func (h *upstreamHealth) peekScores(snap *snapshot, op *caller.Operation, s call.Statement) map[string]upstreamScore {
+	return h.scoresWith(snap, op, s, true, (*health.Group).ProbeDue)
+}
+
+// probeMemory returns the mean time between two probes of this instance. All instances together
+// probe, and try slower upstreams, equally often in fleets of all sizes.
+func probeMemory(snap *snapshot) time.Duration {
+	return health.ProbeInterval * time.Duration(max(1, len(snap.instances)/probingInstances))
+}
+
+// scoresWith returns the scores. The function probe decides whether an avoided upstream gets the
+// read as a probe.
+func (h *upstreamHealth) scoresWith(snap *snapshot, op *caller.Operation, s call.Statement, first bool, probe func(*health.Group, time.Time, string) bool) map[string]upstreamScore {
 	if !h.n.settings().Adaptive {
 		return nil
 	}
 	r, now := op.Grant.Route, h.n.now()
 	mayProbe := first && op.Kind == "" && isRead(s) && r.Consistency != access.Primary
 	members := snap.members(r.Group)
-	// All instances together probe, and try slower upstreams, equally often in fleets of all sizes.
-	memory := health.ProbeInterval * time.Duration(max(1, len(snap.instances)/probingInstances))
-	interval := memory*3/4 + rand.N(memory/2)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	g := h.group(r.Group)
 	out := make(map[string]upstreamScore, len(members))
-	for name, score := range g.Scores(now, members, memory) {
-		out[name] = upstreamScore{score, mayProbe && score.Avoided && g.TakeProbe(now, name, interval)}
+	g := h.groups[r.Group]
+	if g == nil {
+		return out
+	}
+	for name, score := range g.Scores(now, members, probeMemory(snap)) {
+		out[name] = upstreamScore{score, mayProbe && score.Avoided && probe(g, now, name)}
 	}
 	return out
 }
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -154,23 +154,33 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(name)
-	v := groupView{primary: ps.primaryForStatement(g), believed: g.primary}
-	v.floor, v.floorTime, v.hasFloor = g.floors.Oldest(since)
+	now := ps.n.now()
+	v := viewOf(g, since, now)
+	if !now.Before(g.avoidUntil) && takesOver(g, now) {
+		// One statement at a time finds out whether the promotion has taken effect.
+		g.avoidUntil = now.Add(refusedRetry)
+	}
 	return v
 }
 
-// primaryForStatement returns the upstream to which a statement for the primary is sent, or
-// "" if there is none now. The caller holds the lock.
-func (ps *primaries) primaryForStatement(g *group) string {
-	now := ps.n.now()
-	if now.Before(g.avoidUntil) {
-		return ""
+// peekView is view for a statement that is not sent.
+func (ps *primaries) peekView(name string, since time.Time) groupView {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if g := ps.groups[name]; g != nil {
+		return viewOf(g, since, ps.n.now())
 	}
-	if takesOver(g, now) {
-		// One statement at a time finds out whether the promotion has taken effect.
-		g.avoidUntil = now.Add(refusedRetry)
+	return groupView{}
+}
+
+// viewOf returns the view of a group. The caller holds the lock.
+func viewOf(g *group, since, now time.Time) groupView {
+	v := groupView{believed: g.primary}
+	if !now.Before(g.avoidUntil) {
+		v.primary = g.primary
 	}
-	return g.primary
+	v.floor, v.floorTime, v.hasFloor = g.floors.Oldest(since)
+	return v
 }
 
 // takesOver reports whether the primary was promoted and has not been seen to act as the
--- a/io/node/repeat.go
+++ b/io/node/repeat.go
@@ -76,16 +76,23 @@
 	retrySpread = 0.25
 )
 
-// refuseWait decides whether a statement for which no upstream can be chosen is refused now. The
-// deadline is the statement's timeout after its start.
-func (n *Node) refuseWait(rule waitRule, op *caller.Operation, deadline time.Time) (call.Reply, bool) {
+// untilChange returns the expected time until a statement for which no upstream can be chosen can
+// be run, if it is refused because of it. The deadline is the statement's timeout after its start.
+func (n *Node) untilChange(rule waitRule, op *caller.Operation, deadline time.Time) (remaining time.Duration, refused bool) {
 	r, now := op.Grant.Route, n.now()
 	if rule == waitTimeout || !n.settings().Adaptive || r.TargetLatency <= 0 {
-		return call.Reply{}, false
+		return 0, false
 	}
-	remaining := n.health.untilPrimary(r.Group, now)
+	remaining = n.health.untilPrimary(r.Group, now)
 	left := deadline.Add(-r.Timeout).Add(time.Duration(waitShare * float64(r.TargetLatency))).Sub(now)
-	if remaining == 0 || remaining <= left {
+	return remaining, remaining != 0 && remaining > left
+}
+
+// refuseWait decides whether a statement for which no upstream can be chosen is refused now, as
+// untilChange says.
+func (n *Node) refuseWait(rule waitRule, op *caller.Operation, deadline time.Time) (call.Reply, bool) {
+	remaining, refused := n.untilChange(rule, op, deadline)
+	if !refused {
 		return call.Reply{}, false
 	}
 	n.metrics.increment(`burdockseam_refused_total{reason="primary"}`)
--- a/io/node/repeat_test.go
+++ b/io/node/repeat_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -191,8 +192,8 @@
 			score := upstreamScore{Score: health.Score{Service: testService}}
 			loaded := upstreamScore{Score: health.Score{Service: testService, Load: c.nearLoad}}
 			for range 200 {
-				near := n.expectedCost(place("d0"), loaded, wal.Position{}, *now)
-				far := n.expectedCost(place("d1"), score, wal.Position{}, *now)
+				near := n.expectedCost(place("d0"), &loaded, wal.Position{}, *now, rand.Float64()).total
+				far := n.expectedCost(place("d1"), &score, wal.Position{}, *now, rand.Float64()).total
 				if near < far != c.near {
 					t.Fatalf("near %v, far %v", near, far)
 				}
