burdockctl: where says where a request would go now, and why

Reason: operators could not ask an instance why a team's requests go to an upstream, or wait. They had to send one and read the logs.

Change: GET /where on the operators' port answers for a team, a route and a kind of request: the route or the refusal, the team's limit (way, tokens in stock, next token), the upstreams with their role, state, expected time and its parts, the gateways that are passed over, and the choice with its reason, or why there is none and when a retry is worthwhile. It shares the decisions with routing and the limits and changes nothing.

Tested: go test ./io/node ./io/ctl ./cmd/burdockctl ./core/quota ./core/health; go test -race ./io/node -run 'Where|Lock|Routing'; go vet; staticcheck of these packages. With the view or the scores of routing in place of those that only look, with random variation, or with a token taken from the reserve or the holder, TestWhere fails.

--- a/cmd/burdockctl/arguments.go
+++ b/cmd/burdockctl/arguments.go
@@ -36,6 +36,7 @@
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"find the cause of a failed request in log files"`
 	Usage    *usageCommand    `arg:"subcommand:usage" help:"show the last windows of the usage reports"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of all instances"`
+	Where    *whereCommand    `arg:"subcommand:where" help:"say where a request would go now and why, without sending it"`
 
 	Config   string        `arg:"--config,env:BURDOCKCTL_CONFIG" placeholder:"FILE" help:"settings file (INI) with store, operator, secret, author, timeout"`
 	Store    string        `arg:"--store,env:BURDOCKCTL_STORE" placeholder:"IP:PORT" help:"address of the store"`
@@ -149,6 +150,12 @@
 	Count int `arg:"-n" default:"12" placeholder:"COUNT" help:"number of windows"`
 }
 
+type whereCommand struct {
+	Team     string `arg:"positional,required" placeholder:"TEAM" help:"team; no key is needed"`
+	Database string `arg:"positional,required" placeholder:"ROUTE" help:"database name of the route"`
+	Kind     string `arg:"positional" default:"read" placeholder:"KIND" help:"read, write or transaction"`
+}
+
 // waitOption is the option of the commands that change the configuration.
 type waitOption struct {
 	Wait bool `arg:"--wait" help:"wait until every live instance reports the change"`
@@ -178,6 +185,8 @@
   burdockctl group switch salas1 salas1.mty-a
   burdockctl explain 5c0e7a21d94b36f8 a.log b.log c.log
   burdockctl status --operator 10.0.0.11:7004
+  burdockctl where --operator 10.0.0.11:7004 tailors orders
+  burdockctl where --operator 10.0.0.11:7004 tailors orders write --json
 
 A folder remembers its base revision in the file ` + ctl.StateFile + `.
 Variables: BURDOCKCTL_CONFIG, _STORE, _OPERATOR, _SECRET, _AUTHOR, _TIMEOUT.
--- a/cmd/burdockctl/commands.go
+++ b/cmd/burdockctl/commands.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"burdockseam/core/config"
+	"burdockseam/core/where"
 	"burdockseam/io/ctl"
 )
 
@@ -278,6 +279,16 @@
 	return inv.printValue(r, func(w io.Writer) error { return ctl.PrintUsage(w, r) })
 }
 
+// run prints where a request would go. A request that is refused or waits is an answer too; only a
+// route or a team that does not exist is a failure.
+func (c *whereCommand) run(inv *invocation) error {
+	a, err := inv.client.Where(inv.ctx, where.Query{Team: c.Team, Database: c.Database, Kind: where.Kind(c.Kind)})
+	if err != nil {
+		return err
+	}
+	return inv.printValue(a, func(w io.Writer) error { return ctl.PrintWhere(w, a) })
+}
+
 func (*statusCommand) run(inv *invocation) error {
 	f, err := inv.client.Status(inv.ctx)
 	if err != nil {
--- a/core/quota/inspect.go
+++ b/core/quota/inspect.go
@@ -17,14 +17,14 @@
 	// After is the expected time until the next token, if Known is set.
 	After time.Duration
 	Known bool
-	// Retry is the hint that a request would be refused with.
+	// Retry is the hint that a request would be refused with, unless the reserve is asked.
 	Retry time.Duration
 }
 
 // Inspect returns the stock of a team. ok is false if the team has no part here.
 func (r *Reserve) Inspect(now time.Time, team string) (s Stock, ok bool) {
 	if r.buckets[team] == nil {
-		return Stock{Outcome: Refused}, false
+		return Stock{Outcome: Refused, After: MaxWait}, false
 	}
 	b := *r.buckets[team]
 	b.refill(now)
@@ -34,6 +34,9 @@
 	}
 	copied := Reserve{buckets: map[string]*localBucket{team: &b}}
 	s.After, s.Known = copied.TimeToNextToken(now, team), b.rate > 0
+	if copied.AwaitsLoan(team) || b.loanDue(now) {
+		s.Outcome = Waiting
+	}
 	if copied.RetakeToken(now, team) {
 		s.Outcome, s.After, s.Known = Granted, 0, true
 	}
--- a/core/quota/loan.go
+++ b/core/quota/loan.go
@@ -72,13 +72,18 @@
 // of a team that wait, or 0 if no request is due. Until AddLoan no other request is due.
 func (r *Reserve) RequestLoan(now time.Time, team string, waiting int) int {
 	b := r.buckets[team]
-	if b == nil || b.rate <= 0 || waiting == 0 || b.loan.pending || now.Before(b.loan.retryAt) {
+	if b == nil || waiting == 0 || !b.loanDue(now) {
 		return 0
 	}
 	b.loan.pending = true
 	return min(maxLoan, waiting)
 }
 
+// loanDue reports whether a loan may be requested now.
+func (b *localBucket) loanDue(now time.Time) bool {
+	return b.rate > 0 && !b.loan.pending && !now.Before(b.loan.retryAt)
+}
+
 // AwaitsLoan reports whether a request for a loan is unanswered.
 func (r *Reserve) AwaitsLoan(team string) bool {
 	b := r.buckets[team]
--- a/io/ctl/stored_test.go
+++ b/io/ctl/stored_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"burdockseam/core/call"
 	"burdockseam/core/golden"
 	"burdockseam/core/usage"
+	"burdockseam/core/where"
 	"burdockseam/io/instance"
 )
 
@@ -26,5 +28,7 @@
 			}},
 			Errors: map[string]string{"10.0.0.1:7002": "no answer"},
 		}},
+		golden.Value{Name: "where", Value: testAnswer()},
+		golden.Value{Name: "nowhere", Value: where.Answer{Instance: "n1", Version: 7, Code: call.NoDatabase, Why: "no such route"}},
 	)
 }
--- a/io/node/choice.go
+++ b/io/node/choice.go
@@ -154,6 +154,7 @@
 // statement. The caller holds the lock.
 func (n *Node) considerPrimary(rt *routing) candidate {
 	u := rt.snap.upstreams[rt.view.primary]
+	of := func(why string) candidate { return candidate{choice: choice{upstream: u}, why: why} }
 	switch {
 	case !n.mayUsePrimaries():
 		return candidate{why: whyContact}
@@ -162,10 +163,10 @@
 	case u == nil:
 		return candidate{why: whyNoPrimary}
 	case rt.tried[u.Name] >= maxAttempts/2:
-		return candidate{why: whyTried}
+		return of(whyTried)
 	}
 	if k := n.knownStats(u.Name); rt.now.Sub(k.fullAt) < refusedRetry {
-		return candidate{why: whyFull}
+		return of(whyFull)
 	}
 	c := n.selectGateway(rt, u)
 	c.reason, c.open = "primary", call.OpenNone
--- a/io/node/lockorder_test.go
+++ b/io/node/lockorder_test.go
@@ -14,6 +14,7 @@
 	"burdockseam/core/quota"
 	"burdockseam/core/usage"
 	"burdockseam/core/wal"
+	"burdockseam/core/where"
 	"burdockseam/io/caller"
 	"burdockseam/io/gateway"
 )
@@ -124,8 +125,13 @@
 	return map[string]func(){
 		"routing to the primary": func() { n.chooseUpstream(newReadOperation(n, access.Primary), read, nil) },
 		"routing to a replica":   func() { n.chooseUpstream(newReadOperation(n, access.Bounded), read, nil) },
-		"running a statement":    func() { n.Run(ctx, newReadOperation(n, access.Bounded), read) },
-		"learning from a reply":  func() { n.learnFromReply(choice{upstream: u}, now, read, call.Reply{}, false) },
+		"explaining a route": func() {
+			op := newReadOperation(n, access.Bounded)
+			n.inspectRouting(&where.Answer{}, n.snapshot.Load(), op, read)
+			n.inspectLimit(op.Grant)
+		},
+		"running a statement":   func() { n.Run(ctx, newReadOperation(n, access.Bounded), read) },
+		"learning from a reply": func() { n.learnFromReply(choice{upstream: u}, now, read, call.Reply{}, false) },
 		"learning of an upstream's health": func() {
 			n.health.recordSent(choice{upstream: u}, read, now)
 			n.health.recordReply(choice{upstream: u}, read, now, call.Reply{Service: time.Millisecond})
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockseam/core/usage"
+	"burdockseam/core/where"
 )
 
 // operatorReadTimeout bounds the reading of a request on the operators' port.
@@ -76,7 +77,8 @@
 	Usage usage.Status `json:"usage"`
 }
 
-// operatorHandler serves the readiness probe, the metrics and, with usage reports, the status.
+// operatorHandler serves the readiness probe, the metrics, the question where a request would go
+// and, with usage reports, the status.
 func (n *Node) operatorHandler(probe string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+probe, func(w http.ResponseWriter, _ *http.Request) {
@@ -85,6 +87,7 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
+	mux.HandleFunc("GET "+where.Path, n.serveWhere)
 	if n.usage != nil {
 		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "application/json")
