--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -154,18 +154,27 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g := ps.group(name)
-	v := groupView{primary: ps.primaryForStatement(g), believed: g.primary}
-	v.floor, v.floorTime, v.hasFloor = g.floors.Oldest(since)
-	return v
+	return viewOf(g, since, ps.n.now())
 }
 
-// primaryForStatement returns the upstream to which a statement for the primary is sent, or
-// "" if there is none now. The caller holds the lock.
-func (ps *primaries) primaryForStatement(g *group) string {
-	if ps.n.now().Before(g.avoidUntil) {
-		return ""
+// peekView is view for a statement that is not sent: it creates no view of the group.
+func (ps *primaries) peekView(name string, since time.Time) groupView {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if g := ps.groups[name]; g != nil {
+		return viewOf(g, since, ps.n.now())
 	}
-	return g.primary
+	return groupView{}
+}
+
+// viewOf returns the view of a group. The caller holds the lock.
+func viewOf(g *group, since, now time.Time) groupView {
+	v := groupView{believed: g.primary}
+	if !now.Before(g.avoidUntil) {
+		v.primary = g.primary
+	}
+	v.floor, v.floorTime, v.hasFloor = g.floors.Oldest(since)
+	return v
 }
 
 // recordAttempt records that a statement is sent to the primary of a group. One statement at a
@@ -182,8 +191,8 @@
 func (ps *primaries) isPromoting(name string) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	g := ps.group(name)
-	return g.primary != "" && takesOver(g, ps.n.now())
+	g := ps.groups[name]
+	return g != nil && g.primary != "" && takesOver(g, ps.n.now())
 }
 
 // takesOver reports whether the primary was promoted and has not been seen to act as the
