--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -4,8 +4,8 @@
 // lender makes the tokens outstanding before it answers, and counts them until no holder can
 // spend them any more. The borrower drops what it has not granted TransferLifetime after it
 // asked. So a lost answer loses tokens and never doubles them, and level + outstanding of all
-// collectors stays within the burst. Transfers have whole tokens: fractions of several lenders
-// seldom add up to one before they expire.
+// collectors stays within the burst. Tokens are fractional, since the part of a failure domain
+// in a small burst can be below one token.
 
 import (
 	"math"
@@ -35,8 +35,8 @@
 	// do not ask each other all the time while the whole team is over its limit.
 	minLenderPause = 200 * time.Millisecond
 	maxLenderPause = 1600 * time.Millisecond
-	// minShortfall is the number of missing tokens below which none are asked for.
-	minShortfall = 0.05
+	// minTransfer is the least number of tokens in a transfer.
+	minTransfer = 0.05
 	// maxLenders is the number of collectors that are asked in turn.
 	maxLenders = 8
 )
@@ -111,7 +111,7 @@
 		}
 		a.advance(now)
 		short := a.shortfall(now)
-		if short < minShortfall {
+		if short < minTransfer {
 			continue
 		}
 		var lenders []string
@@ -126,7 +126,7 @@
 		for _, address := range lenders {
 			t := out[address]
 			t.From = c.self
-			t.Wants = append(t.Wants, TransferWant{Team: name, Tokens: math.Ceil(short / float64(len(lenders))), Priority: a.mostUrgent(now)})
+			t.Wants = append(t.Wants, TransferWant{Team: name, Tokens: short / float64(len(lenders)), Priority: a.mostUrgent(now)})
 			out[address] = t
 		}
 	}
@@ -189,8 +189,11 @@
 			kept += a.demand[k]*needTime.Seconds() + float64(wants[k])
 		}
 		kept = max(kept, a.reserved(now, class))
-		// Fractions that do not add up to a token would expire.
-		if n := math.Floor(min(w.Tokens, a.level-kept) + tokenError); n >= 1 {
+		n := min(w.Tokens, a.level-kept)
+		if a.burst >= smallBucket {
+			n = math.Floor(n) // fractions that do not add up to a token would expire
+		}
+		if n >= minTransfer {
 			a.hold(&hold{tokens: n, expires: now.Add(lease.AddClockMargin(spendingTime))})
 			reply.Tokens[k] = n
 		}
