gateway: Names of prepared statements are the connection's own

Callers that had prepared a shape of several words saw other statements run: the upstream prepared "jk WRITE q1 WRITE jk" for "q1 WRITE jk" and ran a part of the name as data, or answered MALFORMED although PREPARE had been acknowledged.

Cause: the gateway named a statement "w" or "r" and its shape. A receiver ends the name at a blank.

A connection now numbers its statements ("p1", "p2", ...), one name for each kind and shape; RESET drops the names, and a number is not used again.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -65,10 +65,10 @@
 // pooledConn is a connection and the state of its session at the upstream.
 type pooledConn struct {
 	Conn
-	id       uint64
-	team     string
-	values   []call.Value
-	prepared map[string]bool // prepared statements
+	id         uint64
+	team       string
+	values     []call.Value
+	statements connStatements
 	// transaction is the kind of the open transaction, OpenNone outside of transactions.
 	transaction call.Open
 	// wrote says that a statement of the transaction may have changed data.
@@ -82,16 +82,6 @@
 	round  int
 }
 
-// preparedName returns the name under which a shape is prepared on every connection. The
-// callers' own names can't be used, since callers that share a connection may use the
-// same name for different statements.
-func preparedName(s call.Statement) string {
-	if s.Writes {
-		return "w" + s.Shape
-	}
-	return "r" + s.Shape
-}
-
 // prepareSession sets the caller's values in the session at the upstream and prepares the
 // statement that an Execute runs. If the upstream refuses a step, its answer is returned.
 func (p *pooledConn) prepareSession(deadline time.Time, values []call.Value, s call.Statement) (call.Answer, error) {
@@ -99,7 +89,8 @@
 		if a, err := p.Reset(deadline); err != nil || a.Code != call.OK {
 			return a, err
 		}
-		p.values, p.prepared = nil, nil
+		p.values = nil
+		p.statements.clear()
 	}
 	for _, v := range values {
 		if slices.Contains(p.values, v) {
@@ -111,14 +102,8 @@
 		p.values = slices.DeleteFunc(p.values, func(o call.Value) bool { return o.Name == v.Name })
 		p.values = append(p.values, v)
 	}
-	if name := preparedName(s); s.Kind == call.Execute && !p.prepared[name] {
-		if a, err := p.Prepare(deadline, name, s.Shape, s.Writes); err != nil || a.Code != call.OK {
-			return a, err
-		}
-		if p.prepared == nil {
-			p.prepared = make(map[string]bool)
-		}
-		p.prepared[name] = true
+	if s.Kind == call.Execute {
+		return p.prepareStatement(deadline, keyOf(s))
 	}
 	return call.Answer{}, nil
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -102,8 +103,8 @@
 	return c.send("set " + v.Name + " " + v.Data)
 }
 
-func (c *fakeConn) Prepare(_ time.Time, name, _ string, _ bool) (call.Answer, error) {
-	return c.send("prepare " + name)
+func (c *fakeConn) Prepare(_ time.Time, name, shape string, writes bool) (call.Answer, error) {
+	return c.send(fmt.Sprintf("prepare %s %q %t", name, shape, writes))
 }
 
 func (c *fakeConn) Reset(time.Time) (call.Answer, error) { return c.send("reset") }
@@ -261,7 +262,7 @@
 	execute.Session, execute.Statement.ID, execute.Statement.Writes = "s4", "5", true
 	g.Run(context.Background(), execute)
 	got := s.sentTexts()[6:]
-	if !slices.Equal(got, []string{"prepare rq1", "execute rq1", "prepare wq1", "execute wq1"}) {
+	if !slices.Equal(got, []string{`prepare p1 "q1" false`, "execute p1", `prepare p2 "q1" true`, "execute p2"}) {
 		t.Errorf("sent %q", got)
 	}
 }
