gateway: Bound the statements that stay prepared on a connection

Callers that prepare without end filled the session at the upstream until RESET or the end of the connection: nothing was ever removed.

A connection now holds at most 256 prepared statements and 1 MiB of shapes. Before one more is prepared, the one that was not used for longest is removed with DEALLOC, so never the one that is about to run; a removed one is prepared again before its next EXECUTE, in a transaction too. If DEALLOC is refused (except that the name is unknown) or not answered, the connection is closed, since what the upstream holds is not known: the caller's statement was not sent, and is tried elsewhere or answered ABORTED in a transaction.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -38,6 +38,8 @@
 	// Prepare prepares a statement with the given shape under a name. writes says that
 	// the statement changes data.
 	Prepare(deadline time.Time, name, shape string, writes bool) (call.Answer, error)
+	// Deallocate removes a prepared statement.
+	Deallocate(deadline time.Time, name string) (call.Answer, error)
 	// Reset drops session values and prepared statements.
 	Reset(deadline time.Time) (call.Answer, error)
 	// Usable reports whether the upstream has neither closed the connection nor sent data
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -107,6 +107,10 @@
 	return c.send(fmt.Sprintf("prepare %s %q %t", name, shape, writes))
 }
 
+func (c *fakeConn) Deallocate(_ time.Time, name string) (call.Answer, error) {
+	return c.send("dealloc " + name)
+}
+
 func (c *fakeConn) Reset(time.Time) (call.Answer, error) { return c.send("reset") }
 func (c *fakeConn) Usable() bool                         { return !c.closed }
 func (c *fakeConn) Close()                               { c.closed = true }
--- a/io/gateway/prepared.go
+++ b/io/gateway/prepared.go
@@ -11,8 +11,14 @@
 	"burdockseam/core/call"
 )
 
-// namePrefix begins the names of prepared statements.
-const namePrefix = "p"
+const (
+	// maxStatements and maxStatementBytes bound the statements that stay prepared on a
+	// connection.
+	maxStatements     = 256
+	maxStatementBytes = 1 << 20
+	// namePrefix begins the names of prepared statements.
+	namePrefix = "p"
+)
 
 // statementKey identifies a prepared statement.
 type statementKey struct {
@@ -30,6 +36,7 @@
 type connStatements struct {
 	all      map[statementKey]*list.Element
 	order    list.List // most recently used first
+	bytes    int
 	lastName uint64
 }
 
@@ -54,11 +61,29 @@
 		s.all = make(map[statementKey]*list.Element)
 	}
 	s.all[k] = s.order.PushFront(connStatement{k, name})
+	s.bytes += len(k.shape)
+}
+
+// oldest returns the statement to remove before one more of this size is prepared, if the
+// limits require it.
+func (s *connStatements) oldest(size int) (connStatement, bool) {
+	if len(s.all) == 0 || len(s.all) < maxStatements && s.bytes+size <= maxStatementBytes {
+		return connStatement{}, false
+	}
+	return element(s.order.Back()), true
+}
+
+func (s *connStatements) remove(k statementKey) {
+	if e := s.all[k]; e != nil {
+		s.order.Remove(e)
+		delete(s.all, k)
+		s.bytes -= len(k.shape)
+	}
 }
 
 // clear forgets all statements. Names are not used again.
 func (s *connStatements) clear() {
-	s.all = nil
+	s.all, s.bytes = nil, 0
 	s.order.Init()
 }
 
@@ -76,6 +101,20 @@
 	if p.statements.find(k) != "" {
 		return call.Answer{}, nil
 	}
+	for {
+		old, ok := p.statements.oldest(len(k.shape))
+		if !ok {
+			break
+		}
+		a, err := p.Deallocate(deadline, old.name)
+		if err == nil && a.Code != call.OK && a.Code != call.Unknown {
+			err = Error.New("the upstream keeps prepared statement %s: %s %s", old.name, a.Code, a.Text)
+		}
+		if err != nil {
+			return a, err
+		}
+		p.statements.remove(old.statementKey)
+	}
 	name := p.statements.newName()
 	a, err := p.Prepare(deadline, name, k.shape, k.writes)
 	if err == nil && a.Code == call.OK {
--- a/io/gateway/prepared_test.go
+++ b/io/gateway/prepared_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"burdockseam/core/call"
@@ -33,3 +37,106 @@
 	g.Run(context.Background(), newExecute("s2", "2", "q1"))
 	wantSent(t, s, "set a 1", `prepare p1 "q1" false`, "execute p1", "reset", `prepare p2 "q1" false`, "execute p2")
 }
+
+// runExecutes runs an Execute of each shape by one session.
+func runExecutes(t *testing.T, g *Gateways, shapes ...string) {
+	t.Helper()
+	for k, shape := range shapes {
+		if r := g.Run(context.Background(), newExecute("s", fmt.Sprint(k), shape)); r.Code != call.OK {
+			t.Fatalf("reply to %.20q: %.100s %.100s", shape, r.Code, r.Text)
+		}
+	}
+}
+
+// manyShapes returns shapes that fill a connection to its limit.
+func manyShapes() []string {
+	out := make([]string, maxStatements)
+	for k := range out {
+		out[k] = fmt.Sprintf("q%d of several words", k)
+	}
+	return out
+}
+
+// TestPreparedWithoutBound guards against a connection whose prepared statements only grow.
+func TestPreparedWithoutBound(t *testing.T) {
+	t.Run("the statement that was not used for longest goes first", func(t *testing.T) {
+		s, g := newTestGateways(nil)
+		list := manyShapes()
+		runExecutes(t, g, list...)
+		runExecutes(t, g, list[0], "one more", list[0], list[1])
+		want := []string{
+			"execute p1", "dealloc p2", `prepare p257 "one more" false`, "execute p257", "execute p1",
+			"dealloc p3", fmt.Sprintf("prepare p258 %q false", list[1]), "execute p258",
+		}
+		if got := s.sentTexts()[2*len(list):]; !slices.Equal(got, want) {
+			t.Errorf("sent %q, want %q", got, want)
+		}
+	})
+	t.Run("a long shape takes the place of several", func(t *testing.T) {
+		s, g := newTestGateways(nil)
+		part := strings.Repeat("x", maxStatementBytes/3)
+		runExecutes(t, g, "a"+part, "b"+part, "c"+strings.Repeat("x", maxStatementBytes-1), "d")
+		var got []string
+		for _, text := range s.sentTexts() {
+			got = append(got, text[:min(len(text), 13)])
+		}
+		want := []string{
+			`prepare p1 "a`, "execute p1", `prepare p2 "b`, "execute p2",
+			"dealloc p1", "dealloc p2", `prepare p3 "c`, "execute p3", "dealloc p3", `prepare p4 "d`, "execute p4",
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("sent %q, want %q", got, want)
+		}
+	})
+	t.Run("in a transaction a removed statement is prepared again before it runs", func(t *testing.T) {
+		s, g := newTestGateways(nil)
+		list := manyShapes()
+		runExecutes(t, g, list...)
+		g.Run(context.Background(), withOpen(newRequest("t", "t1", call.Read), call.OpenWrite))
+		for k, shape := range []string{"one more", list[0]} {
+			if r := g.Run(context.Background(), withInside(newExecute("t", fmt.Sprintf("t%d", k+2), shape))); r.Code != call.OK {
+				t.Errorf("reply %+v", r)
+			}
+		}
+		want := []string{
+			"begin", "read t1", "dealloc p1", `prepare p257 "one more" false`, "execute p257",
+			"dealloc p2", fmt.Sprintf("prepare p258 %q false", list[0]), "execute p258",
+		}
+		if got := s.sentTexts()[2*len(list):]; !slices.Equal(got, want) {
+			t.Errorf("sent %q, want %q", got, want)
+		}
+	})
+}
+
+// TestRemovalRefused guards against a connection that counts a statement as removed which the
+// upstream may still have.
+func TestRemovalRefused(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer call.Answer
+		err    error
+		ok     bool
+	}{
+		{"refused", call.Answer{Code: call.Busy}, nil, false},
+		{"not answered", call.Answer{}, errors.New("cut"), false},
+		{"the name is gone already", call.Answer{Code: call.Unknown}, nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, g := newTestGateways(func(text string) (call.Answer, error) {
+				if strings.HasPrefix(text, "dealloc") {
+					return test.answer, test.err
+				}
+				return call.Answer{}, nil
+			})
+			runExecutes(t, g, manyShapes()...)
+			r := g.Run(context.Background(), newExecute("s", "x", "one more"))
+			if (r.Code == call.OK) != test.ok || !test.ok && (r.Code != call.Unreachable || r.Ran != call.RanNo) {
+				t.Errorf("reply %+v", r)
+			}
+			runExecutes(t, g, "one more")
+			if opened := len(s.teams); (opened == 1) != test.ok {
+				t.Errorf("%d connections were opened", opened)
+			}
+		})
+	}
+}
