gateway: An answer to the gateway's own statement isn't the caller's

A caller whose PREPARE had been acknowledged was answered MALFORMED, UNKNOWN, FAILED or TIMEOUT when the upstream refused the gateway's own PREPARE, SET or BEGIN, as if its statement were wrong or had run. After FAILED or TIMEOUT the connection was used again, although the session at the upstream may have changed (a value set, a transaction open).

The connection is closed if the step may have run. BUSY, LAGGING, READONLY, MISROUTED, TOOMANY and DENIED stay. UNKNOWN to an EXECUTE means that the upstream has lost the session's names: ABORTED, and the connection is closed.

TestRefusedPreparation failed before in 7 of 9 cases, e.g. "prepare answered badinput: reply code badinput" and "begin answered timeout: the connection was kept: true".

--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -91,6 +91,11 @@
 		g.releaseConnection(c, id, r, false)
 		return g.lostAnswerReply(r, err)
 	}
+	if s.Kind == call.Execute && a.Code == call.Unknown {
+		// The upstream has lost a name that this connection had prepared, and maybe others.
+		g.releaseConnection(c, id, r, false)
+		return call.Refusal(call.Aborted, "the upstream has lost the prepared statement")
+	}
 	if s.IsWrite() {
 		c.wrote = c.wrote || c.transaction != call.OpenNone
 	}
@@ -146,12 +151,20 @@
 		}
 		return call.Refusal(call.Unreachable, err.Error())
 	}
-	inside := c.transaction != call.OpenNone
-	if inside {
+	unsure := ranFromCode(a.Code) != call.RanNo // the session at the upstream may have changed
+	switch {
+	case unsure:
+		g.releaseConnection(c, id, r, false)
+	case c.transaction != call.OpenNone:
 		go g.rollBackFailed(c, id, r)
-	} else {
+	default:
 		g.releaseConnection(c, id, r, true)
 	}
+	if unsure || a.Code == call.Unknown || a.Code == call.BadInput {
+		// The code is about the gateway's own statement. Nothing of the caller's has run.
+		a.Text = "the upstream did not prepare the session: " + string(a.Code) + " " + a.Text
+		a.Code = call.Aborted
+	}
 	return call.Reply{Ran: call.RanNo, Answer: a}
 }
 
--- a/io/gateway/prepared_test.go
+++ b/io/gateway/prepared_test.go
@@ -140,3 +140,48 @@
 		})
 	}
 }
+
+// TestRefusedPreparation guards against an answer about the gateway's own statement that reaches
+// the caller as one about its statement, and against using a session whose state is not known.
+func TestRefusedPreparation(t *testing.T) {
+	for _, test := range []struct {
+		step         string
+		code, want   call.Code
+		keepsSession bool
+	}{
+		{"prepare", call.BadInput, call.Aborted, true},
+		{"prepare", call.Unknown, call.Aborted, true},
+		{"prepare", call.Busy, call.Busy, true},
+		{"prepare", call.ReadOnly, call.ReadOnly, true},
+		{"prepare", call.Failed, call.Aborted, false},
+		{"prepare", call.Timeout, call.Aborted, false},
+		{"set", call.Timeout, call.Aborted, false},
+		{"begin", call.Timeout, call.Aborted, false},
+		{"execute", call.Unknown, call.Aborted, false},
+	} {
+		t.Run(fmt.Sprintf("%s answered %s", test.step, test.code), func(t *testing.T) {
+			refused := false
+			s, g := newTestGateways(func(text string) (call.Answer, error) {
+				if !refused && strings.HasPrefix(text, test.step) {
+					refused = true
+					return call.Answer{Code: test.code}, nil
+				}
+				return call.Answer{}, nil
+			})
+			r := withOpen(newExecute("s", "1", "q1"), call.OpenRead)
+			r.Values = []call.Value{{Name: "a", Data: "1"}}
+			if reply := g.Run(context.Background(), r); reply.Code != test.want || reply.Ran != call.RanNo {
+				t.Errorf("reply %+v, want %s", reply, test.want)
+			}
+			r.Session = "t"
+			if reply := g.Run(context.Background(), r); reply.Code != call.OK {
+				t.Errorf("reply to the next statement: %+v", reply)
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if kept := len(s.teams) == 1; kept != test.keepsSession {
+				t.Errorf("the connection was kept: %t; sent %q", kept, s.sent)
+			}
+		})
+	}
+}
