failover, gateway, node: Logs show which acknowledged commits a promotion lacks

An order was logged with its target only, so whether a promotion dropped a commit that a caller had been told of could not be seen in the logs. Each gateway and each caller's instance now keeps bounds of the acknowledged commits of a group (the answer to a commit tells the end of the log, which may include later commits), logs them when a promotion is announced, and counts a promotion that lacks some.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -161,6 +161,8 @@
 	// Age is the time since the position was sampled, as the gateway measured it when it
 	// replied.
 	Age time.Duration
+	// Before is a position that the log had before the statement was sent, or the zero position.
+	Before wal.Position
 }
 
 // Reply answers a Request.
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -46,6 +46,7 @@
 		c.transaction, c.wrote = r.Open, false
 		if r.Open != call.OpenRead {
 			proof.add(began, a.Position)
+			g.advanceLog(a.Position)
 		}
 		r.After = wal.Position{}
 	}
@@ -72,6 +73,7 @@
 	s := r.Statement
 	primaryOnly := c.transaction == call.OpenWrite || c.transaction == call.OpenFence
 	wrote := c.wrote
+	p.before = g.advanceLog(wal.Position{})
 	began := g.gateways.now()
 	g.beginMeasured(s, began)
 	name := c.statements.find(keyOf(s))
@@ -111,6 +113,7 @@
 	// longer the primary.
 	if a.Code == call.OK && (primaryOnly && (s.Kind != call.Commit || wrote) || s.IsWrite()) {
 		p.add(began, a.Position)
+		g.advanceLog(a.Position)
 	}
 	reply = call.Reply{Answer: a, Ran: ranFromCode(a.Code), Sample: p.sample()}
 	if primaryOnly && r.Open == call.OpenFence && c.transaction != call.OpenNone {
@@ -182,6 +185,16 @@
 	return call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.Aborted, Text: err.Error()}}
 }
 
+// advanceLog records a position of the upstream's log as the primary, and returns the newest one.
+func (g *Gateway) advanceLog(p wal.Position) wal.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Compare(g.logEnd) > 0 {
+		g.logEnd = p
+	}
+	return g.logEnd
+}
+
 // ranFromCode returns whether a statement ran, given the code of its answer.
 func ranFromCode(c call.Code) call.Ran {
 	switch c {
@@ -202,11 +215,13 @@
 
 // leadershipProof records the evidence that an upstream was the primary: a statement that
 // only a primary accepts. sentAt is the time just before the newest such statement was
-// sent, and position is the log position in its answer.
+// sent, and position is the log position in its answer. before is a position that the log had
+// before the caller's statement was sent.
 type leadershipProof struct {
 	now      func() time.Time
 	sentAt   time.Time
 	position wal.Position
+	before   wal.Position
 }
 
 func (p *leadershipProof) add(at time.Time, position wal.Position) {
@@ -218,5 +233,5 @@
 	if p.position == (wal.Position{}) {
 		return nil
 	}
-	return &call.Sample{Position: p.position, Age: p.now().Sub(p.sentAt)}
+	return &call.Sample{Position: p.position, Age: p.now().Sub(p.sentAt), Before: p.before}
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"burdockseam/core/call"
 	"burdockseam/core/health"
 	"burdockseam/core/queue"
+	"burdockseam/core/wal"
 )
 
 const (
@@ -72,7 +73,8 @@
 	inflight        map[string]int         // unanswered requests of each session
 	ended           map[string]bool        // sessions in inflight whose callers have given up
 	lastRequestAt   time.Time
-	lastID          uint64 // the ID given last to a request
+	lastID          uint64       // the ID given last to a request
+	logEnd          wal.Position // newest position that the upstream told as the primary
 	ticking         bool
 	closed          bool
 	holdTimer       *time.Timer // ends the hold after holdTimeout
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"burdockseam/core/call"
 	"burdockseam/core/failover"
 	"burdockseam/core/lease"
 	"burdockseam/core/wal"
@@ -197,6 +198,9 @@
 	if note.Token < g.pendingPromotion.Token {
 		return // announcements can arrive out of order at an instance that was frozen
 	}
+	if note != g.pendingPromotion {
+		ps.logPendingPromotion(g, note)
+	}
 	g.pendingPromotion, g.pendingPromotionAt = note, ps.n.now()
 	if ps.n.settings().Unfenced && g.primary != note.Upstream {
 		ps.supersede(g, note.Upstream)
@@ -205,6 +209,28 @@
 	}
 }
 
+// logPendingPromotion logs a promotion that is being ordered, with the commits that this instance
+// knows to be acknowledged. The caller holds the lock.
+func (ps *primaries) logPendingPromotion(g *group, note KeepNotice) {
+	a := g.acknowledged
+	ps.n.log.Info("group: promotion announced", "group", g.name, "upstream", note.Upstream, "primary", g.primary, "token", note.Token, "kept", note.Kept.String(), "least", a.Least.String(), "most", a.Most.String())
+	if note.Kept.Compare(a.Least) < 0 {
+		ps.n.metrics.increment("burdockseam_promotions_total{step=\"lacking\"}")
+		ps.n.log.Error(nil, "group: promotion lacks acknowledged commits", "group", g.name, "upstream", note.Upstream, "kept", note.Kept.String(), "acknowledged", a.Least.String())
+	}
+}
+
+// recordAcknowledged records a commit whose acknowledgement passes this instance.
+func (ps *primaries) recordAcknowledged(name string, s *call.Sample, end wal.Position) {
+	if s == nil {
+		return // a commit without writes
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	g := ps.group(name)
+	g.acknowledged = g.acknowledged.Join(failover.CommitBounds(s.Before, end))
+}
+
 // mayDropCommit reports whether a pending promotion may drop a commit that an upstream
 // acknowledged at the given position. Until the promotion takes effect the old primary
 // continues to commit, and a replica that started after the others were paused may have
--- a/io/node/contact.go
+++ b/io/node/contact.go
@@ -52,9 +52,8 @@
 // confirmCommit returns the reply to a request, or InDoubt if the reply acknowledges a commit and
 // this instance has no contact to most of the fleet.
 func (n *Node) confirmCommit(ctx context.Context, r call.Request, reply call.Reply) call.Reply {
-	commits := r.Statement.Kind == call.Commit || r.Statement.IsWrite() && !r.Inside && r.Open != call.OpenWrite
 	// The commit of a transaction without writes has no sample.
-	if !n.settings().Unfenced || !commits || reply.Code != call.OK || reply.Sample == nil || n.confirmContact(ctx, reply.Sample.Age) {
+	if !n.settings().Unfenced || !commits(r) || reply.Code != call.OK || reply.Sample == nil || n.confirmContact(ctx, reply.Sample.Age) {
 		return reply
 	}
 	n.log.Info("route: commit not confirmed without contact", "id", r.Statement.ID, "upstream", r.Upstream, "position", reply.Position.String(), "took", reply.Sample.Age)
@@ -62,6 +61,11 @@
 	return call.Reply{Ran: call.RanMaybe, Load: reply.Load, Answer: call.Answer{Code: call.InDoubt, Text: "the gateway hears from too few others"}}
 }
 
+// commits reports whether a request commits changes if it succeeds.
+func commits(r call.Request) bool {
+	return r.Statement.Kind == call.Commit || r.Statement.IsWrite() && !r.Inside && r.Open != call.OpenWrite
+}
+
 // confirmContact reports whether this instance has contact to most of the fleet, given the time
 // that a commit took. An instance that relies on the store, because most of the fleet may be
 // lost, needs none.
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -80,6 +80,7 @@
 	refusedEntries     map[string]Stamp // stamps of the entries of upstreams that refused to act as the primary
 	term               uint64           // highest term that the group is known to have had
 	floors             route.Floors
+	acknowledged       failover.Acknowledged // commits that passed this instance
 	provedAt           time.Time // time of the newest evidence for the primary
 	lastCommit         time.Time // time of the newest acknowledged commit
 	stalledCommits     int
@@ -278,7 +279,7 @@
 	if g.primary == upstream {
 		return
 	}
-	ps.n.log.Info("group: primary changed", "group", g.name, "primary", upstream, "before", g.primary, "why", why, "proved", ageOrUnknown(ps.n.now(), g.provedAt))
+	ps.n.log.Info("group: primary changed", "group", g.name, "primary", upstream, "before", g.primary, "why", why, "proved", ageOrUnknown(ps.n.now(), g.provedAt), "acknowledged", g.acknowledged.Most.String())
 	g.primary, g.primarySince = upstream, ps.n.now()
 	g.stalledCommits, g.missingSince = 0, time.Time{}
 	if upstream == "" {
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -196,6 +196,9 @@
 		return call.Refusal(call.Unreachable, "the gateway hears from too few others")
 	}
 	reply := n.confirmCommit(ctx, r, n.primaries.rejectOutdated(r, n.gateways.Run(ctx, r)))
+	if commits(r) && reply.Code == call.OK {
+		n.primaries.recordAcknowledged(r.Group, reply.Sample, reply.Position)
+	}
 	if r.Open == call.OpenFence && reply.Code == call.OK && (n.primaries.isSuperseded(r.Group, r.Upstream) || !n.mayUsePrimaries()) {
 		return call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.Aborted, Text: "another upstream was promoted during the read"}}
 	}
