failover, node: A promotion keeps what callers were told of

Cause: the coordinator took the list of replicas for complete. A commit is acknowledged once one replica has received it, also one that is not listed yet, and the only one may be leaving. So the old primary went on acknowledging after all listed replicas were paused, and once the wait for a vanished replica was over, the furthest of the others was ordered, although more was known to be acknowledged (logs: kept 3/160, acknowledged 3/223; kept 1/363, acknowledged 1/369).

Change, on platforms that check fencing tokens: - Instances keep bounds of the commits that they have acknowledged. When replicas are paused, the coordinator freezes all instances (Node.Freeze): they tell these bounds, and acknowledge no further commit of the term unless the announced promotion keeps it. Nothing is ordered below a position that was told, however long that takes. - A failover also demotes the old primary, by way of other instances if need be. One that led right before has every acknowledged commit: the change then waits for no other upstream, and orders it again if no other has as much. - The gateway checks, not only the caller's instance, which the coordinator may not know. An instance that was suspended during a commit, or has just started, asks the others for freezes first.

Replaced checks: three subtests asked for a promotion that lacks a commit known to be acknowledged, 8 s after its holder vanished. They now ask that it does not come, and that it comes if no instance knows of the commit.

Without the gate, the floor or the demotion, subtests of TestPromotionLosesCommitsOfUnlistedReplica and TestPromotionWithoutOnlyHolder fail, as they do on the code before.

--- a/core/failover/order.go
+++ b/core/failover/order.go
@@ -19,6 +19,8 @@
 	Received wal.Position
 	// PausedTerm is the term for which receiving is paused, or 0.
 	PausedTerm uint64
+	// Led is set in the answer to a demotion if the upstream led right before.
+	Led bool
 }
 
 // Action is a kind of Command.
@@ -31,6 +33,7 @@
 	ActionRelease        Action = "free"   // let the old primary accept new work again
 	ActionSurvey         Action = "survey" // ask a replica whether it is the primary
 	ActionPause          Action = "pause"  // stop a replica from receiving the primary's log
+	ActionFreeze         Action = "freeze" // let the gateways acknowledge no further commits of the term
 	ActionListUpstreams  Action = "list"   // read the group's upstreams from the store
 	ActionRaiseToken     Action = "raise"  // send the platform a token without a promotion
 	ActionDemote         Action = "demote" // make the old primary a replica, and announce its successor
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -139,6 +139,10 @@
 	keptPosition        wal.Position // what the target had received when it was chosen
 	lastKept            wal.Position // what the last promotion kept; all commits acknowledged before it are in there
 	lackingSince        time.Time    // since when no replica has lastKept; zero if one has
+	acknowledged        Acknowledged // commits that the gateways have told
+	freeze              freeze
+	holder              holder
+	restored            string // old primary that the last change ordered again, or ""
 	finishedAt          time.Time
 	reason              string
 
@@ -201,6 +205,7 @@
 	}
 	c.planned, c.reason, c.target, c.orderRefused = planned, reason, "", false
 	c.pausing, c.ordersSent = false, 0
+	c.freeze, c.holder = freeze{}, holder{}
 	for i := range c.vanished {
 		c.vanished[i].before = true
 	}
@@ -240,6 +245,8 @@
 // the change ends unless it has sent a pause.
 func (c *OrderedPromotion) HandlePrimaryConfirmed(now, at time.Time, primary string) {
 	switch {
+	case c.holder.upstream != "" && primary == c.holder.upstream && at.Before(c.holder.since):
+		// It was seen to lead before its demotion.
 	case c.phase == PhaseSurvey && (!c.planned || primary != c.primary):
 		c.setPrimary(now, primary)
 		if !c.pausing {
@@ -307,12 +314,14 @@
 	case PhasePause:
 		out = append(out, c.pauseReplicas(now)...)
 	case PhaseList:
+		out = append(out, c.freezeCommits(now, true)...)
 		if now.Sub(c.since) >= listTimeout {
 			c.chooseTarget(now)
 		}
 	case PhaseDemote:
 		out = append(out, c.demoteOld(now)...)
 	case PhaseOrder:
+		out = append(out, c.freezeCommits(now, true)...)
 		out = append(out, c.orderPromotion(now)...)
 	}
 	return out
@@ -400,29 +409,29 @@
 	return list
 }
 
-// pauseReplicas pauses all replicas once no older order can take effect any more. When all have
-// paused, it asks for the present list of upstreams.
+// pauseReplicas pauses all replicas, freezes the gateways and demotes the old primary once no
+// older order can take effect any more. When the answers suffice to choose a target, it asks for
+// the present list of upstreams.
 func (c *OrderedPromotion) pauseReplicas(now time.Time) []Command {
 	if !c.clear(now) {
 		return nil // an order of another instance may still end the pauses
 	}
+	allPaused := !slices.ContainsFunc(c.replicas(), func(r *candidateState) bool { return !r.isPaused(now) })
+	out := append(c.freezeCommits(now, allPaused || c.mayLeaveOut(now)), c.demoteHolder(now, allPaused)...)
 	if c.mustWaitForVanished(now) {
-		return nil
+		return out
 	}
-	var out []Command
-	allPaused := true
 	for _, r := range c.replicas() {
-		if !r.pausedAt.IsZero() && now.Sub(r.pausedAt) < pauseValidity {
+		if r.isPaused(now) {
 			continue
 		}
-		allPaused = false
 		if !now.Before(r.nextCommand) {
 			r.nextCommand = now.Add(commandInterval)
 			c.pausing = true
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
 	}
-	if allPaused && len(c.replicas()) > 0 {
+	if (allPaused || c.mayLeaveOut(now)) && len(c.replicas()) > 0 && c.mayChoose(now) {
 		c.enterPhase(now, PhaseList)
 		out = append(out, Command{Action: ActionListUpstreams})
 	}
@@ -475,6 +484,7 @@
 		return
 	}
 	c.olderTokenElsewhere = before != 0 && before != c.lastDrawn
+	c.freeze.next = time.Time{}
 	c.token, c.lastDrawn, c.nextRaise, c.raisedAt, c.raiseInterval = token, token, now, time.Time{}, 0
 	if c.olderTokenElsewhere && c.orderRefused {
 		c.nextRaise = now.Add(time.Duration(c.random.Int64N(int64(maxRivalDelay))))
@@ -540,13 +550,17 @@
 // paused again.
 func (c *OrderedPromotion) chooseTarget(now time.Time) {
 	list := c.replicas()
-	if c.mustWaitForVanished(now) || len(list) == 0 {
+	if c.mustWaitForVanished(now) || len(list) == 0 || !c.mayChoose(now) {
 		c.enterPhase(now, PhasePause)
 		return
 	}
+	if c.mayLeaveOut(now) {
+		list = slices.DeleteFunc(list, func(r *candidateState) bool { return !r.isPaused(now) })
+	}
+	list = c.avoidHolder(now, list)
 	var best, furthest *candidateState
 	for _, r := range list {
-		if r.pausedAt.IsZero() || now.Sub(r.pausedAt) >= pauseValidity {
+		if !r.isPaused(now) {
 			c.enterPhase(now, PhasePause)
 			return
 		}
@@ -606,7 +620,10 @@
 		c.token, c.nextDraw, c.orderRefused = 0, now, true
 		c.enterPhase(now, PhasePause)
 	case ResponseDone:
-		c.answered, c.finishedAt = cmd.Token, now
+		c.answered, c.finishedAt, c.restored = cmd.Token, now, ""
+		if c.target == c.holder.upstream {
+			c.restored = c.target
+		}
 		c.setPrimary(now, c.target)
 		c.HandleKept(c.keptPosition)
 		return c.target, c.finishChange(now)
--- a/core/failover/recorded.go
+++ b/core/failover/recorded.go
@@ -120,10 +120,15 @@
 	return []Command{{Action: ActionDemote, Upstream: c.undemoted, Term: c.term}}
 }
 
-// HandleDemote takes the status in an upstream's answer to its demotion. Without an answer,
-// the order waits until the given time, because an instance that did not answer may still
-// send statements to the upstream.
-func (c *OrderedPromotion) HandleDemote(now time.Time, upstream string, s ReplicationStatus, err error, silentUntil time.Time) {
+// HandleDemote takes the status in an upstream's answer to its demotion, which was sent at the
+// given time. Without an answer, the order waits until silentUntil on a platform that does not
+// check fencing tokens, because an instance that did not answer may still send statements to the
+// upstream.
+func (c *OrderedPromotion) HandleDemote(now, sent time.Time, upstream string, s ReplicationStatus, err error, silentUntil time.Time) {
+	if !c.recorded {
+		c.handleHolder(now, sent, upstream, s, err)
+		return
+	}
 	demoted := err == nil && !s.Primary
 	c.term = max(c.term, s.Term)
 	if demoted && upstream == c.undemoted {
--- a/core/failover/vanished.go
+++ b/core/failover/vanished.go
@@ -51,6 +51,9 @@
 
 // setPrimary sets the primary, or "" if none is known, and keeps the one before it.
 func (c *OrderedPromotion) setPrimary(now time.Time, primary string) {
+	if primary == c.holder.upstream {
+		c.holder = holder{}
+	}
 	c.primary = primary
 	if primary != "" && primary != c.lastPrimary {
 		c.former, c.formerSince, c.lastPrimary = c.lastPrimary, now, primary
@@ -72,10 +75,11 @@
 
 // mustWaitForVanished reports whether nothing may be ordered yet, because a replica has
 // vanished that may be the only one that holds a commit. A replica that was leaving does not
-// come back, but a working old primary holds what it held. A switchover does not wait: new work
-// at the old primary has ended before the pauses, and the old primary must be left in time.
+// come back, but a working old primary holds what it held, and so does one that was demoted. A
+// switchover does not wait: new work at the old primary has ended before the pauses, and the old
+// primary must be left in time.
 func (c *OrderedPromotion) mustWaitForVanished(now time.Time) bool {
-	return !c.planned && slices.ContainsFunc(c.vanished, func(v vanishedCandidate) bool {
+	return !c.planned && !c.hasHolder(now) && slices.ContainsFunc(c.vanished, func(v vanishedCandidate) bool {
 		mayReturn := !v.Ineligible || !v.before && now.Sub(c.primarySeen) < primarySeenValidity
 		return mayReturn && now.Sub(v.at) < vanishedTimeout
 	})
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -11,7 +11,6 @@
 
 	"github.com/zeebo/errs"
 
-	"burdockseam/core/call"
 	"burdockseam/core/failover"
 	"burdockseam/core/lease"
 	"burdockseam/core/wal"
@@ -54,8 +53,14 @@
 			ps.updateCandidates(g, ps.n.snapshot.Load())
 			g.promotion.HandleList(now)
 		})
+	case failover.ActionFreeze:
+		ps.freezeGateways(ctx, g, c)
 	case failover.ActionDemote:
-		ps.demoteOld(ctx, g, c)
+		if ps.n.settings().Unfenced {
+			ps.demoteOld(ctx, g, c)
+			break
+		}
+		ps.demoteHolder(ctx, g, c)
 	case failover.ActionRaiseToken:
 		ps.raiseToken(ctx, g, c)
 	case failover.ActionOrderPromotion:
@@ -202,6 +207,9 @@
 		ps.logPendingPromotion(g, note)
 	}
 	g.pendingPromotion, g.pendingPromotionAt = note, ps.n.now()
+	if !ps.n.settings().Unfenced {
+		g.gate.Keep(ps.n.now(), note.Token, note.Kept)
+	}
 	if ps.n.settings().Unfenced && g.primary != note.Upstream {
 		ps.supersede(g, note.Upstream)
 		ps.setPrimary(g, note.Upstream, "being promoted")
@@ -212,7 +220,7 @@
 // logPendingPromotion logs a promotion that is being ordered, with the commits that this instance
 // knows to be acknowledged. The caller holds the lock.
 func (ps *primaries) logPendingPromotion(g *group, note KeepNotice) {
-	a := g.acknowledged
+	a := g.gate.Acknowledged()
 	ps.n.log.Info("group: promotion announced", "group", g.name, "upstream", note.Upstream, "primary", g.primary, "token", note.Token, "kept", note.Kept.String(), "least", a.Least.String(), "most", a.Most.String())
 	if note.Kept.Compare(a.Least) < 0 {
 		ps.n.metrics.increment("burdockseam_promotions_total{step=\"lacking\"}")
@@ -220,17 +228,6 @@
 	}
 }
 
-// recordAcknowledged records a commit whose acknowledgement passes this instance.
-func (ps *primaries) recordAcknowledged(name string, s *call.Sample, end wal.Position) {
-	if s == nil {
-		return // a commit without writes
-	}
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	g := ps.group(name)
-	g.acknowledged = g.acknowledged.Join(failover.CommitBounds(s.Before, end))
-}
-
 // mayDropCommit reports whether a pending promotion may drop a commit that an upstream
 // acknowledged at the given position. Until the promotion takes effect the old primary
 // continues to commit, and a replica that started after the others were paused may have
--- a/io/node/claims_test.go
+++ b/io/node/claims_test.go
@@ -30,6 +30,11 @@
 	return failover.ReplicationStatus{Term: 2, Received: wal.Position{Term: 2, Offset: 5}}, nil
 }
 
+// Demote finds that the upstream does not answer.
+func (f *fakeRoles) Demote(context.Context, failover.ControlTarget, uint64) (failover.ReplicationStatus, error) {
+	return failover.ReplicationStatus{}, errors.New("no answer")
+}
+
 func (f *fakeRoles) IsPrimary(_ context.Context, t failover.ControlTarget) (bool, wal.Position, error) {
 	f.probes.Add(1)
 	f.mu.Lock()
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -45,6 +45,16 @@
 	Token uint64
 }
 
+// FreezeRequest asks an instance to acknowledge no further commits of a term, because the
+// primary is being replaced. Token is the fencing token of the change.
+type FreezeRequest struct {
+	Group       string
+	Term, Token uint64
+}
+
+// FreezeReply has the bounds of the commits that the instance has acknowledged.
+type FreezeReply struct{ Acknowledged failover.Acknowledged }
+
 // DemoteRequest requests the demotion of an upstream that the sender does not reach.
 type DemoteRequest struct {
 	Target failover.ControlTarget
@@ -86,6 +96,8 @@
 	// Promotions are those that were announced a short time ago, on a platform where an old
 	// primary goes on.
 	Promotions []KeepNotice
+	// Freezes are those that have not ended.
+	Freezes []FreezeRequest
 	// Majority is set if the instance itself had answers of most of the fleet a short time
 	// ago.
 	Majority bool
@@ -201,6 +213,12 @@
 	return nil
 }
 
+// Freeze lets this instance acknowledge no further commits of a term.
+func (s *service) Freeze(r FreezeRequest, reply *FreezeReply) error {
+	reply.Acknowledged = s.n.primaries.freeze(r)
+	return nil
+}
+
 // Demote demotes an upstream for an instance that does not reach it.
 func (s *service) Demote(r DemoteRequest, reply *failover.ReplicationStatus) error {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
@@ -230,6 +248,7 @@
 		reply.Lease = r
 	}
 	reply.Promotions, reply.Majority = s.n.primaries.recentPromotions(), s.n.isRecent(s.n.majorityAt.Load(), pingInterval)
+	reply.Freezes = s.n.primaries.activeFreezes()
 	reply.Storeless, reply.Suspects = s.n.storeless(), s.n.reportableSuspects()
 	reply.Version = s.n.snapshot.Load().policy.Version
 	if own.differ(Sums{p.Sum, p.Content}) || p.Version > reply.Version {
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -61,7 +61,7 @@
 // Reasons to report a primary as lost.
 const (
 	reasonUnreachable = "unreachable"
-	reasonStalled     = "commits without an answer"
+	reasonStalled     = failover.ReasonUnanswered
 )
 
 // group is an instance's view of a group.
@@ -80,9 +80,11 @@
 	refusedEntries     map[string]Stamp // stamps of the entries of upstreams that refused to act as the primary
 	term               uint64           // highest term that the group is known to have had
 	floors             route.Floors
-	acknowledged       failover.Acknowledged // commits that passed this instance
-	provedAt           time.Time // time of the newest evidence for the primary
-	lastCommit         time.Time // time of the newest acknowledged commit
+	gate               failover.CommitGate // of the commits that pass this instance
+	frozen             FreezeRequest       // the newest freeze of the gate
+	frozenAt           time.Time           // when it became known
+	provedAt           time.Time           // time of the newest evidence for the primary
+	lastCommit         time.Time           // time of the newest acknowledged commit
 	stalledCommits     int
 	stalledSince       time.Time // start of the first commit without an answer since lastCommit
 	reportedAt         time.Time
@@ -112,10 +114,13 @@
 	mu     sync.Mutex
 	groups map[string]*group
 	wakeup chan struct{}
+	// steppedAt is the time of the loop's last step, and wokeAt the end of the last suspension of the process.
+	steppedAt, wokeAt time.Time
+	startedAt         time.Time
 }
 
 func newPrimaries(n *Node) *primaries {
-	return &primaries{n: n, groups: make(map[string]*group), wakeup: make(chan struct{}, 1)}
+	return &primaries{n: n, groups: make(map[string]*group), wakeup: make(chan struct{}, 1), startedAt: n.now(), steppedAt: n.now()}
 }
 
 // wakeLoop makes the loop in run start its next step now.
@@ -279,7 +284,7 @@
 	if g.primary == upstream {
 		return
 	}
-	ps.n.log.Info("group: primary changed", "group", g.name, "primary", upstream, "before", g.primary, "why", why, "proved", ageOrUnknown(ps.n.now(), g.provedAt), "acknowledged", g.acknowledged.Most.String())
+	ps.n.log.Info("group: primary changed", "group", g.name, "primary", upstream, "before", g.primary, "why", why, "proved", ageOrUnknown(ps.n.now(), g.provedAt), "acknowledged", g.gate.Acknowledged().Most.String())
 	g.primary, g.primarySince = upstream, ps.n.now()
 	g.stalledCommits, g.missingSince = 0, time.Time{}
 	if upstream == "" {
--- a/io/node/route.go
+++ b/io/node/route.go
@@ -234,8 +234,8 @@
 		n.log.Info("route: commit may be dropped by a promotion", "id", s.ID, "upstream", c.upstream.Name, "position", r.Position.String())
 		r = call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.InDoubt, Text: "the primary is being replaced"}}
 	}
-	if commit && r.Code == call.OK {
-		n.primaries.recordAcknowledged(c.upstream.Group, r.Sample, r.Position)
+	if commit && r.Code == call.OK && c.gateway.Address != n.self.Address {
+		r = n.passCommit(ctx, req, r)
 	}
 	if r.Code == call.OK && op.Kind != "" && op.Upstream == "" && s.Kind != call.Commit {
 		op.Upstream, op.Gateway = c.upstream.Name, c.gateway.Address
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -21,17 +21,36 @@
 	// storeContactAfter is the time without contact after which an instance relies on the
 	// store. It is above the time of a promotion whose old primary can't be demoted.
 	storeContactAfter = 6 * time.Second
+	// relayAfter is the time without an answer after which other instances are asked to demote an
+	// upstream, too.
+	relayAfter = 100 * time.Millisecond
 	// promotionMemory is the time for which a promotion is told to instances that may have
 	// missed it, because they were cut off or started later.
 	promotionMemory = 2 * time.Minute
 )
 
+// demoteHolder demotes the old primary of a promotion on a platform that checks fencing tokens, by
+// way of other instances if this one does not reach it.
+func (ps *primaries) demoteHolder(ctx context.Context, g *group, c failover.Command) {
+	sent := ps.n.now()
+	var s failover.ReplicationStatus
+	err := error(Error.New("the upstream is not registered"))
+	if u := ps.n.snapshot.Load().upstreams[c.Upstream]; u != nil {
+		s, err = ps.demoteAnywhere(ctx, DemoteRequest{ps.controlTarget(u), c.Term})
+	}
+	ps.n.log.Info("group: demotion of the old primary", "group", g.name, "upstream", c.Upstream, "term", c.Term, "primary", s.Primary, "led", s.Led, "received", s.Received.String(), "err", errorText(err))
+	ps.handleResult(func(now time.Time) { g.promotion.HandleDemote(now, sent, c.Upstream, s, err, time.Time{}) })
+}
+
 // recordContact records the answer of another instance to a ping that was sent at the given
 // time.
 func (n *Node) recordContact(address string, sent time.Time, pong Pong) {
 	for _, p := range pong.Promotions {
 		n.primaries.learnPromotion(p)
 	}
+	for _, f := range pong.Freezes {
+		n.primaries.freeze(f)
+	}
 	s := n.snapshot.Load()
 	judges := len(s.instances) <= smallFleetSize || n.isWatcher()
 	n.mu.Lock()
@@ -197,7 +216,7 @@
 	}
 	reply := n.confirmCommit(ctx, r, n.primaries.rejectOutdated(r, n.gateways.Run(ctx, r)))
 	if commits(r) && reply.Code == call.OK {
-		n.primaries.recordAcknowledged(r.Group, reply.Sample, reply.Position)
+		reply = n.passCommit(ctx, r, reply)
 	}
 	if r.Open == call.OpenFence && reply.Code == call.OK && (n.primaries.isSuperseded(r.Group, r.Upstream) || !n.mayUsePrimaries()) {
 		return call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.Aborted, Text: "another upstream was promoted during the read"}}
@@ -232,7 +251,7 @@
 		}
 	}
 	ps.n.log.Info("group: demotion of the old primary", "group", g.name, "upstream", c.Upstream, "term", c.Term, "primary", s.Primary, "err", errorText(err))
-	ps.handleResult(func(now time.Time) { g.promotion.HandleDemote(now, c.Upstream, s, err, silentUntil) })
+	ps.handleResult(func(now time.Time) { g.promotion.HandleDemote(now, began, c.Upstream, s, err, silentUntil) })
 }
 
 // announcedAt returns when this instance first announced a promotion, which is now if it has
@@ -274,14 +293,35 @@
 	return ps.n.platform.Controls.Demote(ctx, r.Target, r.Term)
 }
 
-// demoteAnywhere demotes an upstream from this instance or, if that fails, from one of the
-// instances that are likely to reach it.
+// demoteAnywhere demotes an upstream from this instance and, unless that succeeds within relayAfter,
+// also from the instances that are likely to reach it.
 func (ps *primaries) demoteAnywhere(ctx context.Context, r DemoteRequest) (failover.ReplicationStatus, error) {
-	direct, cancel := context.WithTimeout(ctx, controlTimeout)
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	s, err := ps.demoteDirectly(direct, r)
-	if err == nil {
-		return s, nil
+	type answer struct {
+		status failover.ReplicationStatus
+		err    error
+	}
+	direct := make(chan answer, 1)
+	go func() {
+		s, err := ps.demoteDirectly(ctx, r)
+		direct <- answer{s, err}
+	}()
+	result := answer{err: Error.New("no instance reaches the upstream")}
+	// Only one of several demotions finds that the upstream led.
+	decides := func(a answer) bool {
+		if a.err == nil || result.err != nil && a.err != nil {
+			result = a
+		}
+		return a.err == nil && (a.status.Led || a.status.Primary)
+	}
+	select {
+	case a := <-direct:
+		if decides(a) {
+			return a.status, nil
+		}
+		direct = nil
+	case <-time.After(relayAfter):
 	}
 	addresses := ps.chooseWitnesses(r.Target.Group)
 	if u := ps.n.snapshot.Load().upstreams[r.Target.Upstream]; u != nil {
@@ -289,23 +329,25 @@
 			addresses = append(addresses, i.Address)
 		}
 	}
-	results := make(chan *failover.ReplicationStatus, len(addresses))
-	relay, cancelRelay := context.WithTimeout(ctx, controlTimeout)
-	defer cancelRelay()
+	relayed := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			var s failover.ReplicationStatus
-			if err := ps.n.peers.Call(relay, address, "Node.Demote", r, &s); err != nil {
-				results <- nil
-				return
-			}
-			results <- &s
+			err := ps.n.peers.Call(ctx, address, "Node.Demote", r, &s)
+			relayed <- answer{s, err}
 		}()
 	}
-	for range addresses {
-		if s := <-results; s != nil {
-			return *s, nil
+	for open := len(addresses); open > 0 || direct != nil; {
+		var a answer
+		select {
+		case a = <-relayed:
+			open--
+		case a = <-direct:
+			direct = nil
+		}
+		if decides(a) {
+			return a.status, nil
 		}
 	}
-	return s, err
+	return result.status, result.err
 }
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -18,6 +18,7 @@
 // run watches the groups that this instance coordinates, until the context ends.
 func (ps *primaries) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		ps.recordStep(ps.n.now())
 		busy := false
 		for _, name := range ps.groupNames() {
 			busy = ps.stepGroup(ctx, name) || busy
