failover: An order without an answer undoes no later change

An order of a promotion that got no answer may be carried out seconds later. The platform refuses it only once it has seen a newer token, and this instance showed the token of its next change only with the next order, unless another instance had drawn one in between. Now that a change demotes the old primary, such a late order would make it lead again during the next change, after the pauses, and commits of that term would be lost.

Change: while an own order has no answer, the next token is presented to the platform first, and accepted orders get their time, as for tokens of other instances.

--- a/core/failover/holder_test.go
+++ b/core/failover/holder_test.go
@@ -86,3 +86,42 @@
 		t.Errorf("term %d, want 2: only a promotion lets the paused replica receive again", w.term)
 	}
 }
+
+// TestLateOrderUndoesChange guards against an order without an answer that takes effect during the
+// next change, after its replicas were paused.
+func TestLateOrderUndoesChange(t *testing.T) {
+	w := newOrderedWorld(1)
+	x := w.instances[0]
+	w.commit(everywhere)
+	play(w, x, time.Second, func() {})
+	x.promotion.Start(w.now, false, "test")
+	for x.promotion.Phase() != PhaseOrder {
+		w.advance(20 * time.Millisecond)
+		w.tickAndPerform(x)
+	}
+	w.enqueue(x, x.promotion.Tick(w.now))
+	for len(x.commands) > 0 {
+		w.performCommand(x, 0, x.commands[0].Action != ActionOrderPromotion)
+	}
+	first := w.lateOrders[0]
+	runUntilIdle(t, w, x)
+	play(w, x, changeCooldown+time.Second, func() { w.commit(everywhere) })
+	x.promotion.SetMembers(w.now, w.primary, w.term, w.candidates())
+	x.promotion.Start(w.now, false, "test")
+	late := false
+	play(w, x, 5*time.Second, func() {
+		if x.promotion.Phase() == PhaseOrder && !late {
+			late = true
+			w.answerOrder(first)
+			w.orderDelay = 300 * time.Millisecond
+		}
+		target := x.promotion.Target()
+		w.commit(map[string]bool{"a": !late || target != "a", "b": !late || target != "b", "c": !late || target != "c"})
+	})
+	if len(w.lost) > 0 {
+		t.Errorf("lost %v, want none", w.lost)
+	}
+	if !late || w.highestToken <= first.Token {
+		t.Errorf("late order played: %t, highest token %d, want a newer one", late, w.highestToken)
+	}
+}
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -143,6 +143,7 @@
 	freeze              freeze
 	holder              holder
 	restored            string // old primary that the last change ordered again, or ""
+	openOrders          int    // orders without an answer, which may still be carried out
 	finishedAt          time.Time
 	reason              string
 
@@ -454,6 +455,7 @@
 	}
 	c.nextCommand = now.Add(commandInterval)
 	c.ordersSent++
+	c.openOrders++
 	return []Command{{Action: ActionOrderPromotion, Upstream: c.target, Token: c.token}}
 }
 
@@ -483,7 +485,7 @@
 	if c.token != 0 {
 		return
 	}
-	c.olderTokenElsewhere = before != 0 && before != c.lastDrawn
+	c.olderTokenElsewhere = before != 0 && (before != c.lastDrawn || c.openOrders > 0)
 	c.freeze.next = time.Time{}
 	c.token, c.lastDrawn, c.nextRaise, c.raisedAt, c.raiseInterval = token, token, now, time.Time{}, 0
 	if c.olderTokenElsewhere && c.orderRefused {
@@ -503,7 +505,7 @@
 // HandleTokenRaised records that the platform has seen the given token or a higher one.
 func (c *OrderedPromotion) HandleTokenRaised(now time.Time, token uint64) {
 	if token == c.token && c.raisedAt.IsZero() {
-		c.raisedAt = now
+		c.raisedAt, c.openOrders = now, 0
 	}
 }
 
@@ -601,6 +603,9 @@
 // HandleOrder takes the platform's answer to an order. If the order was carried out, it
 // returns the new primary and the commands that follow.
 func (c *OrderedPromotion) HandleOrder(now time.Time, cmd Command, r OrderResponse) (primary string, out []Command) {
+	if r != ResponseUnknown && c.openOrders > 0 {
+		c.openOrders--
+	}
 	if cmd.Token != c.token || c.phase != PhaseOrder {
 		return "", nil
 	}
