node: A gateway that is cut off says "in doubt" instead of "done"

A failure domain is partitioned together with the primary and three instances. A replacement starts inside and receives, so that commits there are acknowledged. The coordinator outside reaches neither these instances, to freeze them, nor the primary, to demote it.

Cause: on a platform that checks fencing tokens, a gateway acknowledged commits without contact to the fleet.

Change: the rule of confirmCommit holds there, too, without its part on slow commits. A gateway without answers to pings of the last 0.65 s (in a fleet above 16 instances: without contact reported by a watcher in the last 1.2 s) asks most of the fleet before it passes a commit, and answers in doubt if they don't answer. Instances whose machine refuses connections have ended and do not count, so that the rest of a fleet goes on after many were killed; two sides of a partition can't both find a majority that way.

What is acknowledged in the 0.65 s after the cut by way of a replica that nobody outside knows can still be lost.

--- a/io/node/contact.go
+++ b/io/node/contact.go
@@ -12,9 +12,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"burdockseam/core/call"
@@ -91,12 +93,13 @@
 		}
 		return time.Time{}
 	}
-	times := make([]time.Time, 0, len(s.instances))
+	times := make([]time.Time, 0, len(s.instances)) // of those that have not ended
 	n.mu.Lock()
 	for _, i := range s.instances {
 		switch r := n.peerStates[i.Address]; {
 		case i.Address == n.self.Address:
 			times = append(times, now)
+		case r != nil && r.refused:
 		case r != nil:
 			times = append(times, r.pongAt)
 		default:
@@ -159,13 +162,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
-	results := make(chan bool, len(others))
+	results := make(chan error, len(others))
 	for _, i := range others {
 		go func() { results <- n.askOne(ctx, i.Address) }()
 	}
 	for range others {
-		if <-results {
+		switch err := <-results; {
+		case err == nil:
 			answered++
+		case errors.Is(err, syscall.ECONNREFUSED):
+			asked-- // it has ended
 		}
 		if 2*answered > asked {
 			round.ok = true
@@ -175,14 +181,14 @@
 }
 
 // askOne pings another instance for a round, and learns the promotions that it knows.
-func (n *Node) askOne(ctx context.Context, address string) bool {
+func (n *Node) askOne(ctx context.Context, address string) error {
 	sent, own := n.now(), n.tables.sums()
 	known := n.limits.newestLease()
 	var pong Pong
 	if err := n.peers.Call(ctx, address, "Node.Ping", Ping{n.self.Address, own.Sum, known.Epoch, known.Beat, own.Content, n.snapshot.Load().policy.Version}, &pong); err != nil {
-		return false
+		return err
 	}
 	n.recordAnswer(address)
 	n.recordContact(address, sent, pong)
-	return true
+	return nil
 }
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -117,12 +117,11 @@
 	defer cancel()
 	switch absent := n.primaries.mayHaveMissedFreeze(reply.Sample.Age); {
 	case len(n.snapshot.Load().instances) == 1:
-	case absent == wasSuspended:
-		if !n.askForContact(ctx, n.now()) {
-			return n.doubtCommit(r, reply, "this instance may have missed that the primary is being replaced")
-		}
 	case absent == isNew:
 		n.askForContact(ctx, n.now()) // in a fleet that starts, most others may not answer yet
+	case absent == notAbsent && n.hearsMost():
+	case !n.askForContact(ctx, n.now()):
+		return n.doubtCommit(r, reply, "this instance may have missed that the primary is being replaced")
 	}
 	commit := failover.CommitBounds(reply.Sample.Before, reply.Position)
 	for {
@@ -138,6 +137,20 @@
 	}
 }
 
+// hearsMost reports whether this instance had contact to most of the fleet a short time ago, so that
+// it has heard of each freeze, or relies on the store because most of the fleet may be lost. In a
+// large fleet, the watchers tell of contact, which takes longer.
+func (n *Node) hearsMost() bool {
+	s, now := n.snapshot.Load(), n.now()
+	if len(s.instances) <= smallFleetSize && now.Sub(n.lastContact(s, now)) < freshContact {
+		return true
+	}
+	if len(s.instances) > smallFleetSize && n.hadContact(contactTimeout) {
+		return true
+	}
+	return !n.hadContact(contactTimeout) && n.isRecent(n.storeContactAt.Load(), contactTimeout)
+}
+
 // doubtCommit returns the reply to a commit that the caller must not rely on.
 func (n *Node) doubtCommit(r call.Request, reply call.Reply, why string) call.Reply {
 	n.log.Info("route: commit may be dropped by a promotion", "id", r.Statement.ID, "upstream", r.Upstream, "position", reply.Position.String(), "why", why)
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -5,7 +5,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"burdockseam/core/call"
@@ -316,6 +318,7 @@
 	suspect    bool
 	leaving    bool
 	storeless  bool
+	refused    bool      // its machine refuses connections, so that the process has ended
 	pongAt     time.Time // when the last ping that it answered was sent
 	lastAnswer time.Time // or the time when the instance became known
 }
@@ -346,7 +349,7 @@
 	if r.suspect {
 		n.log.Info("peer: answers again", "peer", address)
 	}
-	r.failures, r.suspect, r.lastAnswer = 0, false, n.now()
+	r.failures, r.suspect, r.refused, r.lastAnswer = 0, false, false, n.now()
 }
 
 // recordNoAnswer records that an instance has not answered.
@@ -355,6 +358,7 @@
 	defer n.mu.Unlock()
 	r := n.peerStateOf(address)
 	r.failures++
+	r.refused = errors.Is(err, syscall.ECONNREFUSED)
 	if !r.suspect && (r.failures >= suspectAfter || peer.Unsent.Has(err)) {
 		r.suspect = true
 		n.log.Info("peer: suspect", "peer", address, "heard", n.now().Sub(r.lastAnswer), "err", err.Error())
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -66,21 +66,26 @@
 }
 
 // mostAnswered reports whether most of the instances that this one pings have answered within
-// contactWindow: of all instances in a small fleet, and of the gateways in a large one. The
-// caller holds the lock.
+// contactWindow: of all instances in a small fleet, and of the gateways in a large one. Those that
+// have ended do not count: on two sides of a partition, both can't find a majority of the others.
+// The caller holds the lock.
 func (n *Node) mostAnswered(s *snapshot, now time.Time) bool {
 	pinged := n.watchedGateways
 	if len(s.instances) <= smallFleetSize {
 		pinged = s.instances
 	}
-	answered := 0
+	answered, running := 0, len(pinged)
 	for _, i := range pinged {
 		r := n.peerStates[i.Address]
+		if r != nil && r.refused {
+			running--
+			continue
+		}
 		if i.Address == n.self.Address || r != nil && now.Sub(r.pongAt) < contactWindow(len(pinged), n.pingsPerRound()) {
 			answered++
 		}
 	}
-	return 2*answered > len(pinged)
+	return 2*answered > running
 }
 
 // contactWindow returns the time within which an instance pings each of the given number of
@@ -105,7 +110,7 @@
 		sleep(ctx, contactTimeout/2)
 		sent := n.now()
 		switch {
-		case !n.settings().Unfenced || n.hadContact(contactTimeout):
+		case n.hadContact(contactTimeout):
 			lastContact = sent
 		case sent.Sub(lastContact) >= storeContactAfter:
 			if n.primaries.listUpstreams(ctx) {
