failover: The first commit of a term counts as acknowledged

A commit whose gateway had no position of the same term was known by its upper bound only, so that the floor of a change of primary did not include it. Its own term is a lower bound: a target without any entry of that term lacks it.

--- a/core/failover/acknowledged.go
+++ b/core/failover/acknowledged.go
@@ -27,7 +27,10 @@
 // of the log before the commit was sent, or the zero position if it is not known.
 func CommitBounds(before, end wal.Position) Acknowledged {
 	a := Acknowledged{Most: end}
-	if before.Term == end.Term && before.Offset < end.Offset {
+	switch {
+	case before.Term < end.Term && end.Offset > 0:
+		a.Least = wal.Position{Term: end.Term, Offset: 1} // the first commit of the term that is seen here
+	case before.Term == end.Term && before.Offset < end.Offset:
 		a.Least = wal.Position{Term: end.Term, Offset: before.Offset + 1}
 	}
 	return a
