node: An instance that ends hands over which commits it has acknowledged

The commits that instances have acknowledged are known in their memory only. After a graceful stop of the gateway, a change of primary did not know them and could order an upstream without them, if the replica that had them was gone as well.

An instance that has drained tells the coordinator of each group (Node.Leave, 0.3 s at most), which tells its own successor when it ends.

TestEndedInstanceForgetsAcknowledged fails without it. TestCommitAcknowledgedDuringChange covers the gate at the instances. What is still lost: what only an instance knew that was killed, or that all instances knew if all are killed.

--- a/core/failover/gate.go
+++ b/core/failover/gate.go
@@ -36,6 +36,9 @@
 // Acknowledged returns the bounds of the commits that were acknowledged here.
 func (g *CommitGate) Acknowledged() Acknowledged { return g.acknowledged }
 
+// Learn records the bounds of commits that another instance has acknowledged.
+func (g *CommitGate) Learn(a Acknowledged) { g.acknowledged = g.acknowledged.Join(a) }
+
 // Freeze freezes the commits of a term for the change of primary with a fencing token, or renews
 // the freeze. It returns the bounds of the commits that were acknowledged before.
 func (g *CommitGate) Freeze(now time.Time, term, token uint64) Acknowledged {
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"burdockseam/core/call"
@@ -17,6 +18,8 @@
 	// suspendedAfter is the time without a step of the loop after which the process counts as
 	// suspended, so that it may have missed a freeze.
 	suspendedAfter = time.Second
+	// handOverTimeout bounds the last calls of an instance that ends. It is below exitReserve.
+	handOverTimeout = 300 * time.Millisecond
 	// newInstanceAge is the age up to which other instances may not know an instance.
 	newInstanceAge = 3 * time.Second
 )
@@ -199,3 +202,45 @@
 	}
 	ps.steppedAt = now
 }
+
+// learnAcknowledged records commits that another instance has acknowledged, by group.
+func (ps *primaries) learnAcknowledged(list map[string]failover.Acknowledged) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for name, a := range list {
+		ps.group(name).gate.Learn(a)
+	}
+}
+
+// handOverAcknowledged tells the coordinators which commits this instance, which is about to end,
+// has acknowledged.
+func (ps *primaries) handOverAcknowledged(ctx context.Context) {
+	known := make(map[string]failover.Acknowledged)
+	ps.mu.Lock()
+	for name, g := range ps.groups {
+		if a := g.gate.Acknowledged(); a != (failover.Acknowledged{}) {
+			known[name] = a
+		}
+	}
+	ps.mu.Unlock()
+	notices := make(map[string]LeaveNotice)
+	for name, a := range known {
+		address := ps.n.coordinatorOf(name).Address
+		if notices[address].Acknowledged == nil {
+			notices[address] = LeaveNotice{ps.n.self.Address, make(map[string]failover.Acknowledged)}
+		}
+		notices[address].Acknowledged[name] = a
+	}
+	delete(notices, ps.n.self.Address)
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for address, notice := range notices {
+		calls.Go(func() {
+			if err := ps.n.peers.Call(ctx, address, "Node.Leave", notice, &Empty{}); err != nil {
+				ps.n.log.Info("shutdown: acknowledged commits not handed over", "peer", address, "groups", len(notice.Acknowledged), "err", err.Error())
+			}
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/io/node/freeze_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"burdockseam/core/call"
+	"burdockseam/core/failover"
+	"burdockseam/core/wal"
+)
+
+// newFencedNode returns an instance on a platform that checks fencing tokens, in a fleet whose
+// other instances, of the given number, answer.
+func newFencedNode(t *testing.T, others int) (n *Node, list []*Node) {
+	t.Helper()
+	n, list = newContactNode(t, others)
+	for _, x := range append([]*Node{n}, list...) {
+		s := *x.settings()
+		s.Unfenced = false
+		x.activeSettings.Store(&s)
+		x.primaries.startedAt = x.now().Add(-time.Minute)
+	}
+	hearAll(n, n.now())
+	return n, list
+}
+
+// TestCommitAcknowledgedDuringChange guards against commits that a gateway acknowledges after it
+// was told that the primary is being replaced.
+func TestCommitAcknowledgedDuringChange(t *testing.T) {
+	commit := call.Request{Group: "g0", Budget: 300 * time.Millisecond, Statement: call.Statement{Kind: call.Commit}}
+	for _, test := range []struct {
+		name string
+		kept wal.Position // zero: the promotion is not announced
+		want call.Code
+	}{
+		{"the promotion keeps it", wal.Position{Term: 1, Offset: 5}, call.OK},
+		{"the promotion drops it", wal.Position{Term: 1, Offset: 4}, call.InDoubt},
+		{"no promotion is announced", wal.Position{}, call.InDoubt},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n, _ := newFencedNode(t, 0)
+			n.primaries.freeze(FreezeRequest{"g0", 1, 5})
+			if test.kept != (wal.Position{}) {
+				time.AfterFunc(50*time.Millisecond, func() {
+					n.primaries.recordPendingPromotion(KeepNotice{Group: "g0", Upstream: "u1", Kept: test.kept, Token: 5})
+				})
+			}
+			if got := n.passCommit(t.Context(), commit, acknowledged(time.Millisecond)); got.Code != test.want {
+				t.Errorf("code %q, want %q", got.Code, test.want)
+			}
+			if a := n.primaries.freeze(FreezeRequest{"g0", 1, 5}); (a.Most != wal.Position{}) != (test.want == call.OK) {
+				t.Errorf("acknowledged up to %v", a.Most)
+			}
+		})
+	}
+	t.Run("an instance that was suspended asks the others", func(t *testing.T) {
+		n, others := newFencedNode(t, 4)
+		for _, o := range others {
+			o.primaries.freeze(FreezeRequest{"g0", 1, 5})
+		}
+		n.primaries.wokeAt = n.now()
+		if got := n.passCommit(t.Context(), commit, acknowledged(time.Second)); got.Code != call.InDoubt {
+			t.Errorf("code %q, want in doubt", got.Code)
+		}
+	})
+}
+
+// TestEndedInstanceForgetsAcknowledged guards against a promotion that drops commits which only an
+// instance that has ended had acknowledged.
+func TestEndedInstanceForgetsAcknowledged(t *testing.T) {
+	n, others := newFencedNode(t, 4)
+	want := failover.Acknowledged{Least: wal.Position{Term: 1, Offset: 4}, Most: wal.Position{Term: 1, Offset: 5}}
+	n.primaries.learnAcknowledged(map[string]failover.Acknowledged{"g0": want})
+	n.draining.Store(true)
+	n.primaries.handOverAcknowledged(t.Context())
+	for _, o := range others {
+		if o.primaries.freeze(FreezeRequest{"g0", 1, 5}) == want {
+			return
+		}
+	}
+	t.Error("no other instance knows the commit")
+}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -32,8 +32,12 @@
 // EndRequest requests the end of a session's transaction from its gateway.
 type EndRequest struct{ Upstream, Session string }
 
-// LeaveNotice announces that an instance takes no new work.
-type LeaveNotice struct{ Address string }
+// LeaveNotice announces that an instance takes no new work. When it has ended its work, it tells
+// the coordinators of groups which commits it has acknowledged, by group.
+type LeaveNotice struct {
+	Address      string
+	Acknowledged map[string]failover.Acknowledged
+}
 
 // LeadNotice announces that an upstream was promoted.
 type LeadNotice struct{ Group, Upstream string }
@@ -199,6 +203,7 @@
 	s.n.mu.Lock()
 	s.n.peerStateOf(l.Address).leaving = true
 	s.n.mu.Unlock()
+	s.n.primaries.learnAcknowledged(l.Acknowledged)
 	s.n.wakeStatements()
 	return nil
 }
--- a/io/node/shutdown.go
+++ b/io/node/shutdown.go
@@ -51,6 +51,7 @@
 		sleep(ctx, drainPollInterval)
 		n.gateways.TrimIdle()
 	}
+	n.primaries.handOverAcknowledged(ctx)
 	if n.usage != nil {
 		n.usage.flush(ctx)
 	}
