failover: A platform without fencing keeps what callers were told of, too

The same cause as on platforms that check fencing tokens: a recorded promotion waited 8 s for a vanished replica and then took the furthest of the others, and did not take the old primary after its demotion showed that it has more.

Now its instances tell the commits that they have acknowledged before the choice, nothing is ordered below them, and a demoted old primary that has more is a candidate. Commits themselves are held back as before, by the announcement and the rule of contact.

TestPromotionWithoutOnlyHolder/unfenced fails without it.

--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -1,12 +1,13 @@
 package failover
 
-// What an ordered promotion must keep, on a platform that checks fencing tokens. Pausing the listed
-// replicas does not end the old primary's work: a replica that is not listed yet may receive, and
-// the only replica that has received may be gone. Two facts take the place of a complete list:
+// What an ordered promotion must keep. Pausing the listed replicas does not end the old primary's
+// work: a replica that is not listed yet may receive, and the only replica that has received may be
+// gone. Two facts take the place of a complete list:
 //
 //   - Frozen gateways. The instances that acknowledge commits have told which ones, and
-//     acknowledge no others. Nothing is ordered that lacks what they have acknowledged.
-//   - The holder. An old primary that led until it was demoted has every acknowledged commit. It
+//     acknowledge no others. Nothing is ordered that lacks what they have acknowledged. On a
+//     platform that does not check fencing tokens, they only tell; see recorded.go for the rest.
+//   - The holder, where the platform checks fencing tokens. An old primary that led until it was demoted has every acknowledged commit. It
 //     can be ordered again, so that no other upstream has to be waited for.
 
 import (
@@ -52,7 +53,7 @@
 // waits for upstreams renews the freeze only when it goes on.
 func (c *OrderedPromotion) freezeCommits(now time.Time, goesOn bool) []Command {
 	first := c.freeze.token != c.token || c.freeze.term < c.term
-	if c.recorded || c.token == 0 || now.Before(c.freeze.next) || !first && !goesOn {
+	if c.token == 0 || now.Before(c.freeze.next) || !first && !goesOn {
 		return nil
 	}
 	c.freeze.next = now.Add(freezeInterval)
@@ -74,7 +75,7 @@
 // isFrozen reports whether the gateways that answered acknowledge no further commits.
 func (c *OrderedPromotion) isFrozen(now time.Time) bool {
 	f := c.freeze
-	return c.recorded || !f.at.IsZero() && f.token == c.token && f.term >= c.term && now.Sub(f.at) < freezeValidity
+	return !f.at.IsZero() && f.token == c.token && f.term >= c.term && now.Sub(f.at) < freezeValidity
 }
 
 // hasHolder reports whether the old primary was demoted and its position is known.
@@ -138,13 +139,11 @@
 // mayChoose reports whether the answers of the gateways and of the old primary allow the choice of
 // a target.
 func (c *OrderedPromotion) mayChoose(now time.Time) bool {
-	if c.recorded {
-		return true
-	}
-	if !c.isFrozen(now) || c.lacksAcknowledged(now) {
+	mayDemote := c.recorded && c.primary != "" // the demotion comes after the choice
+	if !c.isFrozen(now) || c.lacksAcknowledged(now) && !mayDemote {
 		return false
 	}
-	return c.freeze.silent == 0 || c.primary == "" || c.holder.attempted
+	return c.recorded || c.freeze.silent == 0 || c.primary == "" || c.holder.attempted
 }
 
 // leastPosition returns the position that the target must have at least.
--- a/core/failover/holder_test.go
+++ b/core/failover/holder_test.go
@@ -62,28 +62,32 @@
 // TestPromotionWithoutOnlyHolder guards against a promotion that lacks commits whose only holders
 // are the crashed primary and a leaving replica that has ended.
 func TestPromotionWithoutOnlyHolder(t *testing.T) {
-	w := newOrderedWorld(1)
-	x := w.instances[0]
-	list := w.candidates()
-	list[2].Ineligible = true // c is leaving
-	x.promotion.SetMembers(w.now, "a", 1, list)
-	w.commit(everywhere)
-	play(w, x, time.Second, func() { w.commit(map[string]bool{"c": true}) })
-	w.down["a"] = true
-	x.promotion.Start(w.now, false, "test")
-	play(w, x, 20*time.Millisecond, func() {})
-	w.down["c"], w.names = true, []string{"a", "b"}
-	x.promotion.SetMembers(w.now, "", 1, w.candidates())
-	play(w, x, 20*time.Second, func() {})
-	if w.highestToken != 0 {
-		t.Errorf("an order with token %d was sent, want none while the commits are gone", w.highestToken)
-	}
-	w.names, w.logs["a2"], w.primary = []string{"a2", "b"}, w.logs["a"], "a2" // the primary is back under another name
-	x.promotion.SetMembers(w.now, "a2", 1, w.candidates())
-	play(w, x, 2*time.Second, func() {})
-	expectPrimary(t, w, "a2")
-	if w.term != 2 {
-		t.Errorf("term %d, want 2: only a promotion lets the paused replica receive again", w.term)
+	for name, newWorld := range map[string]func(int) *orderedWorld{"fenced": newOrderedWorld, "unfenced": newUnfencedWorld} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1)
+			x := w.instances[0]
+			list := w.candidates()
+			list[2].Ineligible = true // c is leaving
+			x.promotion.SetMembers(w.now, "a", 1, list)
+			w.commit(everywhere)
+			play(w, x, time.Second, func() { w.commit(map[string]bool{"c": true}) })
+			w.down["a"] = true
+			x.promotion.Start(w.now, false, "test")
+			play(w, x, 20*time.Millisecond, func() {})
+			w.down["c"], w.names = true, []string{"a", "b"}
+			x.promotion.SetMembers(w.now, "", 1, w.candidates())
+			play(w, x, 20*time.Second, func() {})
+			if w.highestToken != 0 {
+				t.Errorf("an order with token %d was sent, want none while the commits are gone", w.highestToken)
+			}
+			w.names, w.logs["a2"], w.primary = []string{"a2", "b"}, w.logs["a"], "a2" // the primary is back under another name
+			x.promotion.SetMembers(w.now, "a2", 1, w.candidates())
+			play(w, x, 2*time.Second, func() {})
+			expectPrimary(t, w, "a2")
+			if w.term != 2 {
+				t.Errorf("term %d, want 2: only a promotion lets the paused replica receive again", w.term)
+			}
+		})
 	}
 }
 
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -418,10 +418,11 @@
 		return nil // an order of another instance may still end the pauses
 	}
 	allPaused := !slices.ContainsFunc(c.replicas(), func(r *candidateState) bool { return !r.isPaused(now) })
-	out := append(c.freezeCommits(now, allPaused || c.mayLeaveOut(now)), c.demoteHolder(now, allPaused)...)
+	others := append(c.freezeCommits(now, allPaused || c.mayLeaveOut(now)), c.demoteHolder(now, allPaused)...)
 	if c.mustWaitForVanished(now) {
-		return out
+		return others
 	}
+	var out []Command
 	for _, r := range c.replicas() {
 		if r.isPaused(now) {
 			continue
@@ -436,7 +437,7 @@
 		c.enterPhase(now, PhaseList)
 		out = append(out, Command{Action: ActionListUpstreams})
 	}
-	return out
+	return append(out, others...)
 }
 
 // clear reports whether a token is at hand and no order with an older token can
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -133,6 +133,11 @@
 
 // acknowledge passes the acknowledgement of a commit through the gate.
 func (w *orderedWorld) acknowledge(id int, end wal.Position) {
+	if w.unfenced {
+		w.gate.Learn(CommitBounds(wal.Position{Term: end.Term, Offset: end.Offset - 1}, end))
+		w.acked = append(w.acked, id)
+		return
+	}
 	switch w.gate.Pass(w.now, w.term, CommitBounds(wal.Position{Term: end.Term, Offset: end.Offset - 1}, end)) {
 	case PassageOpen:
 		w.acked = append(w.acked, id)
--- a/core/failover/recorded.go
+++ b/core/failover/recorded.go
@@ -141,6 +141,9 @@
 	case demoted:
 		// The old primary has become a replica with the whole log.
 		c.primary = ""
+		if r := c.findCandidate(upstream); r != nil {
+			r.status, r.pausedAt = s, sent
+		}
 	case err == nil:
 		// It leads a later term, for which the replicas are not paused.
 		c.enterPhase(now, PhasePause)
@@ -156,6 +159,10 @@
 		c.enterPhase(now, PhasePause)
 		return
 	}
+	if c.keptPosition.Compare(c.acknowledged.Least) < 0 {
+		c.enterPhase(now, PhasePause) // the old primary, which may be a candidate now, has more
+		return
+	}
 	c.enterPhase(now, PhaseOrder)
 }
 
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -113,8 +113,13 @@
 // passCommit returns the reply to a commit that succeeded, or InDoubt if a promotion may drop the
 // commit. It waits while that is not known.
 func (n *Node) passCommit(ctx context.Context, r call.Request, reply call.Reply) call.Reply {
-	if reply.Sample == nil || n.settings().Unfenced {
-		return reply // a commit without writes, or confirmCommit decides
+	if reply.Sample == nil {
+		return reply // a commit without writes
+	}
+	commit := failover.CommitBounds(reply.Sample.Before, reply.Position)
+	if n.settings().Unfenced {
+		n.primaries.learnAcknowledged(map[string]failover.Acknowledged{r.Group: commit})
+		return reply // confirmCommit and the announcement of the promotion decide
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Budget)
 	defer cancel()
@@ -126,7 +131,6 @@
 	case !n.askForContact(ctx, n.now()):
 		return n.doubtCommit(r, reply, "this instance may have missed that the primary is being replaced")
 	}
-	commit := failover.CommitBounds(reply.Sample.Before, reply.Position)
 	for {
 		switch n.primaries.passage(r.Group, commit) {
 		case failover.PassageOpen:
