--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -136,6 +136,20 @@
 	return true
 }
 
+// Lacking returns the position that is known to be acknowledged, and the highest one of the upstreams
+// that have answered, if the change waits because none of them has it.
+func (c *OrderedPromotion) Lacking(now time.Time) (acknowledged, highest wal.Position, waits bool) {
+	if c.phase != PhasePause || !c.isFrozen(now) || !c.lacksAcknowledged(now) {
+		return wal.Position{}, wal.Position{}, false
+	}
+	for _, r := range c.replicas() {
+		if r.isPaused(now) && r.status.Received.Compare(highest) > 0 {
+			highest = r.status.Received
+		}
+	}
+	return c.acknowledged.Least, highest, highest != (wal.Position{})
+}
+
 // mayChoose reports whether the answers of the gateways and of the old primary allow the choice of
 // a target.
 func (c *OrderedPromotion) mayChoose(now time.Time) bool {
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -6,21 +6,24 @@
 // upstreams is fenced here. These rules keep acknowledged commits instead:
 //
 //   - A commit is acknowledged only after at least one replica has received it. Before an
-//     order, all replicas are paused, so that no further commit is acknowledged, and the
-//     replica that has received most is chosen, which then holds every acknowledged commit.
-//     A replica that does not answer may be the only replica that holds a commit, so the
-//     promotion waits for its answer.
+//     order, all listed replicas are paused, and the one that has received most is chosen. A
+//     replica that does not answer may be the only replica that holds a commit, so the
+//     promotion waits for its answer, unless the old primary was demoted.
+//   - A replica that is not listed yet may receive, and the only one that has received may be
+//     gone for good. So the instances that acknowledge commits tell which ones, and
+//     acknowledge no others while the change lasts; see holder.go. Nothing is ordered that
+//     lacks what they have told, however long it takes until an upstream has it.
 //   - Each order carries a fencing token. Tokens increase, and no token is used for two
 //     decisions. The platform refuses an order with a token below the highest token that
 //     it has seen. If another instance may hold an older token, the new token is sent to
 //     the platform before replicas are paused, and orders that it accepted earlier get the
 //     time to take effect. So no order of another instance takes effect between the
 //     answers to the pauses and this instance's order.
-//   - A replica that disappears from the list of upstreams may also be the only replica
-//     that holds a commit, and comes back with its log if it has crashed. So a failover
-//     orders nothing for vanishedTimeout, also if the replica disappeared before the change
-//     began. It does not wait for a replica that was leaving, unless it disappeared during the
-//     change and the old primary, which holds all commits, is seen to work.
+//   - A replica that disappears from the list of upstreams may hold a commit that was
+//     acknowledged by an instance which is gone, and comes back with its log if it has
+//     crashed. So a failover without the old primary orders nothing for vanishedTimeout, also
+//     if the replica disappeared before the change began. A replica that was leaving does not
+//     come back.
 //   - After a promotion, the new primary may be the only upstream that is left with commits
 //     which were acknowledged before. No replica is paused while none of them has the position
 //     that the promotion kept and the primary is seen to work, and for vanishedTimeout if it is
@@ -31,8 +34,8 @@
 //     for its own choice of a target. Only a promotion lets the replica receive again, so
 //     a change that has paused a replica is carried through, even if the old primary is
 //     back. To make that rare, all replicas must be reached before the first is paused. An
-//     order for the old primary itself would not help: the platform answers it and changes
-//     nothing, so the replicas would stay paused.
+//     order for the old primary itself helps only after its demotion. Otherwise the platform
+//     answers it and changes nothing, so the replicas would stay paused.
 //
 // An OrderedPromotion is used by one goroutine at a time. It has no clock: results and
 // Tick carry the time.
--- a/core/failover/vanished.go
+++ b/core/failover/vanished.go
@@ -61,8 +61,9 @@
 }
 
 // mayHoldCommits reports whether a failover waits for an upstream whose entry disappears. A lost
-// primary is not waited for: what it acknowledged, a replica has received. Its entry expires only
-// after it was replaced, so the next change does not wait for it either.
+// primary is not waited for by itself: lacksAcknowledged waits if no other upstream has what it
+// acknowledged. Its entry expires only after it was replaced, so the next change does not wait for
+// it either.
 func (c *OrderedPromotion) mayHoldCommits(now time.Time, upstream string) bool {
 	switch {
 	case upstream == c.primary:
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -20,6 +20,8 @@
 	suspendedAfter = time.Second
 	// handOverTimeout bounds the last calls of an instance that ends. It is below exitReserve.
 	handOverTimeout = 300 * time.Millisecond
+	// lackingLogInterval is the time between two log lines of a change that waits for commits.
+	lackingLogInterval = 5 * time.Second
 	// newInstanceAge is the age up to which other instances may not know an instance.
 	newInstanceAge = 3 * time.Second
 )
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -105,6 +105,7 @@
 	lastNonce        uint64    // nonce of the last draw of a fencing token
 	begunAt          time.Time // start of the promotion under way
 	lastPhase        failover.Phase
+	lackingLoggedAt  time.Time // when it was last logged that no upstream has all acknowledged commits
 }
 
 // primaries holds the views of all groups, and coordinates promotions in some of them.
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -95,6 +95,11 @@
 		ps.n.log.Info("group: change of primary reached a phase", "group", name, "phase", p, "target", g.promotion.Target(), "took", now.Sub(g.begunAt))
 		g.lastPhase = p
 	}
+	if least, highest, waits := g.promotion.Lacking(now); waits && now.Sub(g.lackingLoggedAt) >= lackingLogInterval {
+		g.lackingLoggedAt = now
+		ps.n.metrics.increment("burdockseam_promotions_total{step=\"waiting\"}")
+		ps.n.log.Info("group: change of primary waits for acknowledged commits", "group", name, "acknowledged", least.String(), "highest", highest.String(), "took", now.Sub(g.begunAt))
+	}
 	return g.promotion.Phase() != failover.PhaseIdle
 }
 
