--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -19,10 +19,15 @@
 // so that the statement did not run.
 var ErrUnsent = errors.New("nothing was sent")
 
+// ErrUnsendable means that an upstream would not read a statement, or the start of a session,
+// as it was meant. Nothing was sent, and the connection remains usable.
+var ErrUnsendable = errors.New("cannot be sent to an upstream")
+
 // Conn is a connection to an upstream, opened for one team. After a method has returned
-// an error, the connection is unusable, and the statement may have run unless the error
-// is ErrUnsent. If the upstream refuses a statement, the method returns no error, and the
-// Code of the Answer says why. Each method waits until its deadline at most.
+// an error other than ErrUnsendable, the connection is unusable, and the statement may have
+// run unless the error is ErrUnsent. If the upstream refuses a statement, the method returns
+// no error, and the Code of the Answer says why. Each method waits until its deadline at
+// most.
 type Conn interface {
 	// Begin opens a transaction, read-only if read is set, once the log of the upstream
 	// has reached the position.
@@ -84,6 +89,19 @@
 	round  int
 }
 
+// orUnsendable returns the answer of a method of the connection. It returns a refusal in place
+// of ErrUnsendable, which says nothing about the upstream.
+func (p *pooledConn) orUnsendable(a call.Answer, err error) (call.Answer, error) {
+	if !errors.Is(err, ErrUnsendable) {
+		return a, err
+	}
+	a = call.Answer{Code: call.BadInput, Text: err.Error(), State: call.Idle}
+	if p.transaction != call.OpenNone {
+		a.State = call.Active
+	}
+	return a, nil
+}
+
 // prepareSession sets the caller's values in the session at the upstream and prepares the
 // statement that an Execute runs. If the upstream refuses a step, its answer is returned.
 func (p *pooledConn) prepareSession(deadline time.Time, values []call.Value, s call.Statement) (call.Answer, error) {
@@ -98,7 +116,7 @@
 		if slices.Contains(p.values, v) {
 			continue
 		}
-		if a, err := p.Set(deadline, v); err != nil || a.Code != call.OK {
+		if a, err := p.orUnsendable(p.Set(deadline, v)); err != nil || a.Code != call.OK {
 			return a, err
 		}
 		p.values = slices.DeleteFunc(p.values, func(o call.Value) bool { return o.Name == v.Name })
--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -75,13 +75,13 @@
 	began := g.gateways.now()
 	g.beginMeasured(s, began)
 	name := c.statements.find(keyOf(s))
-	a, err := c.Run(deadline, s, name, r.After)
+	a, err := c.orUnsendable(c.Run(deadline, s, name, r.After))
 	for err == nil && a.Code == call.Busy && a.State == call.Active && g.gateways.now().Add(busyRetryInterval).Before(deadline) {
 		// Retry, since a lost transaction is worse than a refused new request. The slot
 		// was taken by another gateway, or by connections that are being opened for other
 		// teams.
 		time.Sleep(busyRetryInterval)
-		a, err = c.Run(deadline, s, name, r.After)
+		a, err = c.orUnsendable(c.Run(deadline, s, name, r.After))
 	}
 	took := g.gateways.now().Sub(began)
 	g.gateways.observer.Answered(took)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -269,6 +269,11 @@
 	if errors.As(err, &refused) {
 		reply = call.Refusal(refused.Code, refused.Text)
 	}
+	if errors.Is(err, ErrUnsendable) {
+		g.applyDecisions(g.queue.ConnectionLost(now, id))
+		g.refuseTeam(now, team, call.Refusal(call.Aborted, err.Error()))
+		return
+	}
 	if reply.Code == call.TooMany {
 		g.limitConnections(now, id, team, reply)
 		return
@@ -297,6 +302,11 @@
 			return
 		}
 	}
+	g.refuseTeam(now, team, reply)
+}
+
+// refuseTeam refuses the waiting requests of a team. The lock is held.
+func (g *Gateway) refuseTeam(now time.Time, team string, reply call.Reply) {
 	for id, w := range g.waiting {
 		if w.team != team {
 			continue
--- a/io/gateway/prepared.go
+++ b/io/gateway/prepared.go
@@ -116,7 +116,7 @@
 		p.statements.remove(old.statementKey)
 	}
 	name := p.statements.newName()
-	a, err := p.Prepare(deadline, name, k.shape, k.writes)
+	a, err := p.orUnsendable(p.Prepare(deadline, name, k.shape, k.writes))
 	if err == nil && a.Code == call.OK {
 		p.statements.add(k, name)
 	}
--- a/io/gateway/prepared_test.go
+++ b/io/gateway/prepared_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
 
 	"burdockseam/core/call"
 )
@@ -185,3 +188,67 @@
 		})
 	}
 }
+
+// TestUnsendableClosesConnection guards against a connection, or a team, that is lost because of
+// a statement which was never sent.
+func TestUnsendableClosesConnection(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		open call.Open
+		code call.Code
+		sent []string
+	}{
+		{"alone", call.OpenNone, call.BadInput, []string{"read 1", "read 2"}},
+		{"in a transaction", call.OpenWrite, call.BadInput, []string{"begin", "read 1", "rollback", "read 2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, g := newTestGateways(func(text string) (call.Answer, error) {
+				if text == "read 1" {
+					return call.Answer{}, ErrUnsendable
+				}
+				return call.Answer{}, nil
+			})
+			r := g.Run(context.Background(), withOpen(newRequest("s", "1", call.Read), test.open))
+			if r.Code != test.code || r.Ran != call.RanNo {
+				t.Errorf("reply %+v", r)
+			}
+			// The rollback follows the reply.
+			for deadline := time.Now().Add(2 * time.Second); g.Usage().Running > 0 && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			if r := g.Run(context.Background(), newRequest("t", "2", call.Read)); r.Code != call.OK {
+				t.Errorf("reply to the next statement: %+v", r)
+			}
+			wantSent(t, s, test.sent...)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if len(s.teams) != 1 {
+				t.Errorf("%d connections were opened", len(s.teams))
+			}
+		})
+	}
+}
+
+// unsendableTeam is a dialer that cannot tell the name of one team.
+type unsendableTeam struct{ *fakeUpstream }
+
+func (u unsendableTeam) Dial(ctx context.Context, address, group, team, upstream string) (Conn, error) {
+	if team == "bad team" {
+		return nil, ErrUnsendable
+	}
+	return u.fakeUpstream.Dial(ctx, address, group, team, upstream)
+}
+
+// TestUnsendableTeamStopsOthers guards against refusing all teams because the name of one cannot
+// be sent.
+func TestUnsendableTeamStopsOthers(t *testing.T) {
+	g := New(unsendableTeam{&fakeUpstream{}}, silentObserver{}, logr.Discard(), time.Now)
+	bad := newRequest("s", "1", call.Read)
+	bad.Team = "bad team"
+	if r := g.Run(context.Background(), bad); r.Code != call.Aborted || r.Ran != call.RanNo {
+		t.Errorf("reply %+v", r)
+	}
+	if r := g.Run(context.Background(), newRequest("t", "2", call.Read)); r.Code != call.OK {
+		t.Errorf("reply to another team: %+v", r)
+	}
+}
