caller: Bound what a session holds for its caller

A caller could prepare and set without end: the session kept every name, and all values go with each request to a gateway, whose size is limited to 8 MiB. Past that every statement failed, although SET had been acknowledged.

A session holds at most 1,024 prepared statements of 4 MiB, and 256 values of 1 MiB, names included. What exceeds this is refused with TOOMANY; nothing of the session changes, except that an open transaction has failed.

TestSessionWithoutBound, with the limits switched off: prepare "more": code "", want "toomany"; the same for the bytes and the values.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -59,7 +59,7 @@
 	Lagging    Code = "lagging"    // the upstream's log has not reached Request.After; nothing ran
 	ReadOnly   Code = "readonly"   // the upstream is not the primary; nothing ran
 	Misrouted  Code = "misrouted"  // the request reached another upstream or group than expected
-	TooMany    Code = "toomany"    // the upstream accepts no further connection
+	TooMany    Code = "toomany"    // the upstream accepts no further connection, or the session holds too much
 	Unknown    Code = "unknown"    // no prepared statement has this name
 	NoDatabase Code = "nodatabase" // no route has this name
 	Denied     Code = "denied"     // the key gives no access to the route
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"burdockseam/core/access"
@@ -49,12 +47,6 @@
 	EndTransaction(op *Operation)
 }
 
-// preparedStatement is a statement that the caller has prepared under a name.
-type preparedStatement struct {
-	shape  string
-	writes bool
-}
-
 // Session is the session of one caller. It is used by one goroutine.
 //
 // The state, the session values, the prepared statements and the position of the
@@ -69,7 +61,7 @@
 
 	state          call.State
 	values         []call.Value
-	prepared       map[string]preparedStatement
+	prepared       preparedStatements
 	lastCommit     wal.Position
 	op             *Operation // the open transaction
 	operationCount int        // of operations that have started
@@ -79,7 +71,7 @@
 func NewSession(name, database string, c access.Credential, r Router, now func() time.Time) *Session {
 	return &Session{
 		name: name, database: database, credential: c, router: r, now: now,
-		state: call.Idle, prepared: make(map[string]preparedStatement),
+		state: call.Idle,
 	}
 }
 
@@ -103,16 +95,21 @@
 	}
 	switch st.Kind {
 	case call.Set:
-		s.values = withValue(s.values, call.Value{Name: st.Name, Data: st.Value})
+		values, ok := withValue(s.values, call.Value{Name: st.Name, Data: st.Value})
+		if !ok {
+			return s.failTransaction(refusalAnswer(call.TooMany, "the session would hold too many values"))
+		}
+		s.values = values
 		return call.Answer{}
 	case call.Prepare:
-		s.prepared[st.Name] = preparedStatement{st.Shape, st.Writes}
+		if !s.prepared.set(st.Name, preparedStatement{st.Shape, st.Writes}) {
+			return s.failTransaction(refusalAnswer(call.TooMany, "the session would hold too many prepared statements"))
+		}
 		return call.Answer{}
 	case call.Deallocate:
-		if _, ok := s.prepared[st.Name]; !ok {
+		if !s.prepared.remove(st.Name) {
 			return s.failTransaction(refusalAnswer(call.Unknown, "no statement has this name"))
 		}
-		delete(s.prepared, st.Name)
 		return call.Answer{}
 	case call.Begin, call.BeginRead:
 		return s.begin(ctx, st)
@@ -133,7 +130,7 @@
 // AbandonedAnswer returns the answer to a statement of which it is not known whether it ran, and
 // whose session ends with the answer. It is called before the statement is executed.
 func (s *Session) AbandonedAnswer(st call.Statement) call.Answer {
-	if p, ok := s.prepared[st.Name]; ok && st.Kind == call.Execute {
+	if p, ok := s.prepared.all[st.Name]; ok && st.Kind == call.Execute {
 		st.Writes = p.writes
 	}
 	a := call.Answer{Code: call.Aborted, Text: "the instance has shut down", State: call.Broken}
@@ -146,16 +143,6 @@
 	return a
 }
 
-// withValue returns a copy of the list, sorted by name, in which v replaces a value of
-// the same name.
-func withValue(list []call.Value, v call.Value) []call.Value {
-	out := slices.Clone(list)
-	out = slices.DeleteFunc(out, func(o call.Value) bool { return o.Name == v.Name })
-	out = append(out, v)
-	slices.SortFunc(out, func(a, b call.Value) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
-
 func refusalAnswer(code call.Code, text string) call.Answer {
 	return call.Answer{Code: code, Text: text}
 }
@@ -214,7 +201,7 @@
 // runStatement runs a read, a write or a prepared statement.
 func (s *Session) runStatement(ctx context.Context, st call.Statement) call.Answer {
 	if st.Kind == call.Execute {
-		p, ok := s.prepared[st.Name]
+		p, ok := s.prepared.all[st.Name]
 		if !ok {
 			return s.failTransaction(refusalAnswer(call.Unknown, "no statement has this name"))
 		}
