postgres: An idempotency key that is not UTF-8 is refused

The header of a link is JSON, which holds valid UTF-8 only: on the way to another instance "a\xff" and "a\xfe" became the same key, and the second write would count as one that was made before. SET now refuses such a key with 22023.

TestIdempotencyKeysMixed failed before: each of the three keys was accepted. The collision itself was read from the code, not played.

--- a/io/postgres/session_test.go
+++ b/io/postgres/session_test.go
@@ -251,3 +251,18 @@
 	a.send(&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
 	a.expect("EZ")
 }
+
+// TestIdempotencyKeysMixed guards against two keys that become the same in the header of a link,
+// which holds valid UTF-8 only, so that a write counts as one that was made before.
+func TestIdempotencyKeysMixed(t *testing.T) {
+	f := startServer(t, nil)
+	c := f.dial(t).PgConn() // the driver's own quoting would change the text
+	set := func(key string) string {
+		_, err := c.Exec(contextWithTimeout(t), "SET burdockseam.idempotency_key = '"+key+"'").ReadAll()
+		return sqlState(err)
+	}
+	for _, key := range []string{"a\xff", "a\xfe", "\xed\xa0\x80"} {
+		equal(t, strconv.Quote(key), set(key), stateInvalidValue)
+	}
+	equal(t, "valid", set("a bé"), "")
+}
--- a/io/postgres/setting.go
+++ b/io/postgres/setting.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -120,6 +121,9 @@
 		if len(value) > maxIdempotencyKey {
 			return &StatementError{stateInvalidValue, "the idempotency key is too long"}
 		}
+		if !utf8.ValidString(value) {
+			return &StatementError{stateInvalidValue, "the idempotency key is not valid UTF-8"}
+		}
 		c.idempotencyKey = value
 	case name == settingApplication:
 		c.reportParameter(name, value)
