gateway: The commit of an empty transaction acknowledges nothing

A transaction without statements took what its opening had shown as proof of a commit, so that unanswered commits of others counted as acknowledged. If they were lost with the old primary, no upstream could ever be promoted. Found by review. TestEmptyTransactionIsNoCommit failed before.

--- a/io/gateway/execute.go
+++ b/io/gateway/execute.go
@@ -116,6 +116,9 @@
 		g.advanceLog(a.Position)
 	}
 	reply = call.Reply{Answer: a, Ran: ranFromCode(a.Code), Sample: p.sample()}
+	if s.Kind == call.Commit && !wrote {
+		reply.Sample = nil // what the opening of the transaction shows is no commit
+	}
 	if primaryOnly && r.Open == call.OpenFence && c.transaction != call.OpenNone {
 		// The answer is final, so it need not wait for the rollback of the gateway's own
 		// transaction.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -500,3 +500,18 @@
 
 // Paced implements Observer.
 func (silentObserver) Paced(string) {}
+
+// TestEmptyTransactionIsNoCommit guards against a commit without writes that counts as the
+// acknowledgement of what others commit meanwhile.
+func TestEmptyTransactionIsNoCommit(t *testing.T) {
+	_, g := newTestGateways(func(text string) (call.Answer, error) {
+		if strings.HasPrefix(text, "commit") {
+			return call.Answer{State: call.Idle, Position: wal.Position{Term: 1, Offset: 130}}, nil
+		}
+		return call.Answer{State: call.Active, Position: wal.Position{Term: 1, Offset: 100}}, nil
+	})
+	r := g.Run(context.Background(), withOpen(newRequest("s", "1", call.Commit), call.OpenWrite))
+	if r.Code != call.OK || r.Sample != nil {
+		t.Errorf("code %q, sample %+v, want ok without a sample", r.Code, r.Sample)
+	}
+}
