failover, node: Faults that a review, a model and a simulated world found in kept commits

Each had a sequence that loses an acknowledged commit, or a test that failed, on the commits before: - The gate compared positions of two terms, so that a late commit of a term that was cut passed once a later term had commits, or by the announcement of the next change (TestGatePassesCommitOfEarlierTerm). While an instance is silent or may have forgotten, the demoted primary's position must be reached, also after it has gone (TestPromotionBecauseOfUnansweredCommits, TestHolderStartsAgainWithoutLog). - A demotion or a pause for a term that had moved on counted (TestDemotionForOutdatedTerm), as did a holder of an earlier term (TestHolderOfEarlierTerm, TestHolderAfterUnknownPromotion), and one demotion that was refused for want of a connection (TestDemotionIsRefusedOnce). - An order was sent or repeated after its facts had ended (TestOrderByOutdatedAnswers, TestOrderIsNotRepeatedBelowAcknowledged). - Without fencing, the demoted primary's log was not compared (TestDemotedPrimaryHasMore). - A group whose only replica was paused, and which lacked what the last promotion kept, stayed without a working primary (TestChangeWaitsForKeptPosition, TestNoPrimaryAfterOrderedReplicaEnds).

--- a/core/failover/fakes_test.go
+++ b/core/failover/fakes_test.go
@@ -12,10 +12,13 @@
 	"burdockseam/core/wal"
 )
 
+// defaultChecks is the number of random cases of a check.
+const defaultChecks = "800"
+
 // TestMain fixes the seed of rapid, so that each run checks the same cases.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "200", "rapid.checks": "800"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "200", "rapid.checks": defaultChecks} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = f.Value.Set(value)
 		}
--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -11,6 +11,9 @@
 //     can be ordered again, so that no other upstream has to be waited for.
 
 import (
+	"cmp"
+	"errors"
+	"slices"
 	"time"
 
 	"burdockseam/core/wal"
@@ -24,28 +27,40 @@
 	// holderWait is the time for which the other upstreams may still answer once the old primary
 	// is demoted. One that has as much is preferred, since something was wrong with the old primary.
 	holderWait = 350 * time.Millisecond
-	// restoredMemory is the time after a change that ordered the old primary again in which the
-	// next change prefers another upstream.
-	restoredMemory = 30 * time.Second
+	// maxRefusals is the number of failed demotions after which an old primary that answers, but
+	// has no free slot or connection, is left alone.
+	maxRefusals = 5
+	// restartSlack is above the time from the end of an instance to the start of its successor.
+	restartSlack = time.Second
 )
 
 // ReasonUnanswered is the reason of a failover from a primary whose commits get no answer. Its
 // replicas receive nothing, so ordering it again would not help.
 const ReasonUnanswered = "commits without an answer"
 
+// ErrRefused is the error of a demotion that the upstream refuses for the moment.
+var ErrRefused = errors.New("refused for the moment")
+
 // freeze is what is known of the gateways' commits during a change.
 type freeze struct {
 	at          time.Time // when the newest answered freeze was sent; zero without one
 	term, token uint64
-	silent      int       // instances that did not answer it
-	next        time.Time // earliest time of the next freeze
+	silent      int // instances that did not answer it
+	// chosenSilent is their number when the target was chosen.
+	chosenSilent int
+	forgetful    bool      // an instance may have forgotten the newest commits
+	next         time.Time // earliest time of the next freeze
 }
 
 // holder is the old primary after its demotion.
 type holder struct {
 	upstream    string // "" if it is not demoted
 	since       time.Time
-	attempted   bool      // an attempt to demote it has ended
+	attempted   bool   // it does not answer, or refuses again and again
+	refusals    int    // attempts to demote it that failed
+	term        uint64 // term that it led
+	position    wal.Position
+	answeredAt  time.Time // when its last answer was sent
 	nextAttempt time.Time // earliest time of the next attempt
 }
 
@@ -60,16 +75,29 @@
 	return []Command{{Action: ActionFreeze, Term: c.term, Token: c.token}}
 }
 
-// HandleFreeze takes the answers of the instances to a freeze that was sent at the given time: the
-// bounds of the commits that they have acknowledged, and the number of instances without an answer.
-func (c *OrderedPromotion) HandleFreeze(now, sent time.Time, cmd Command, a Acknowledged, silent int) {
-	c.acknowledged = c.acknowledged.Join(a)
-	if a.Most.Term > c.term {
-		c.term, c.freeze.next = a.Most.Term, now
+// HandleFreeze takes the answers of the instances to a freeze that was sent at the given time, and the
+// number of instances without an answer.
+func (c *OrderedPromotion) HandleFreeze(now, sent time.Time, cmd Command, answers []FreezeAnswer, silent int) {
+	for _, a := range answers {
+		c.acknowledged = c.acknowledged.Join(a.Acknowledged)
+		if a.Term > c.term {
+			c.term, c.freeze.next = a.Term, now
+		}
 	}
 	if cmd.Token == c.token && sent.After(c.freeze.at) {
 		c.freeze.at, c.freeze.term, c.freeze.token, c.freeze.silent = sent, cmd.Term, cmd.Token, silent
+		c.freeze.forgetful = mayHaveForgotten(answers)
+	}
+}
+
+// mayHaveForgotten reports whether an instance started after the newest commit that the instances
+// know. One that was there before it may have acknowledged later commits.
+func mayHaveForgotten(answers []FreezeAnswer) bool {
+	if len(answers) == 0 {
+		return true
 	}
+	newest := slices.MinFunc(answers, func(a, b FreezeAnswer) int { return cmp.Compare(a.Idle, b.Idle) }).Idle
+	return slices.ContainsFunc(answers, func(a FreezeAnswer) bool { return a.Age < newest+restartSlack })
 }
 
 // isFrozen reports whether the gateways that answered acknowledge no further commits.
@@ -81,7 +109,7 @@
 // hasHolder reports whether the old primary was demoted and its position is known.
 func (c *OrderedPromotion) hasHolder(now time.Time) bool {
 	r := c.findCandidate(c.holder.upstream)
-	return r != nil && r.isPaused(now)
+	return r != nil && r.isPaused(now) && c.term == c.holder.term
 }
 
 // mayLeaveOut reports whether the upstreams that have not answered need not be waited for.
@@ -95,7 +123,9 @@
 	if c.recorded || c.primary == "" || now.Before(c.holder.nextAttempt) {
 		return nil
 	}
-	if c.planned && !(allPaused && c.isFrozen(now) && (c.freeze.silent > 0 || c.lacksAcknowledged(now))) {
+	needed := allPaused && c.isFrozen(now) && (c.freeze.silent > 0 || c.lacksAcknowledged(now))
+	stuck := now.Sub(c.since) >= pauseValidity // a replica does not answer any more
+	if c.planned && !needed && !stuck {
 		return nil
 	}
 	c.holder.nextAttempt = now.Add(commandInterval)
@@ -109,31 +139,29 @@
 	if r == nil || c.phase != PhasePause || upstream != c.primary {
 		return
 	}
-	c.holder.attempted = true
 	if err != nil {
+		c.holder.refusals++
+		c.holder.attempted = !errors.Is(err, ErrRefused) || c.holder.refusals >= maxRefusals
 		return
 	}
 	c.term = max(c.term, s.Term)
 	if s.Primary {
+		c.holder.nextAttempt = now
 		c.enterPhase(now, PhasePause) // it leads a later term
 		return
 	}
+	c.holder.attempted = true
 	// Without proof that it led, it is a replica like the others.
 	c.primary, r.status, r.pausedAt, r.nextCommand = "", s, sent, now
 	if s.Led {
-		c.holder.upstream, c.holder.since = upstream, now
+		c.holder.upstream, c.holder.since, c.holder.term, c.holder.position, c.holder.answeredAt = upstream, now, c.term, s.Received, sent
 	}
 }
 
 // lacksAcknowledged reports whether no upstream that has answered has all commits that are known
 // to be acknowledged.
 func (c *OrderedPromotion) lacksAcknowledged(now time.Time) bool {
-	for _, r := range c.replicas() {
-		if r.isPaused(now) && r.status.Received.Compare(c.acknowledged.Least) >= 0 {
-			return false
-		}
-	}
-	return true
+	return c.highest(now).Compare(c.acknowledged.Least) < 0
 }
 
 // Lacking returns the position that is known to be acknowledged, and the highest one of the upstreams
@@ -142,11 +170,7 @@
 	if c.phase != PhasePause || !c.isFrozen(now) || !c.lacksAcknowledged(now) {
 		return wal.Position{}, wal.Position{}, false
 	}
-	for _, r := range c.replicas() {
-		if r.isPaused(now) && r.status.Received.Compare(highest) > 0 {
-			highest = r.status.Received
-		}
-	}
+	highest = c.highest(now)
 	return c.acknowledged.Least, highest, highest != (wal.Position{})
 }
 
@@ -154,25 +178,37 @@
 // a target.
 func (c *OrderedPromotion) mayChoose(now time.Time) bool {
 	mayDemote := c.recorded && c.primary != "" // the demotion comes after the choice
-	if !c.isFrozen(now) || c.lacksAcknowledged(now) && !mayDemote {
+	if !c.isFrozen(now) || c.highest(now).Compare(c.leastPosition(now)) < 0 && !mayDemote {
 		return false
 	}
-	return c.recorded || c.freeze.silent == 0 || c.primary == "" || c.holder.attempted
+	return c.recorded || c.primary == "" || c.holder.attempted || c.freeze.silent == 0 && c.highest(now).Compare(c.acknowledged.Most) >= 0
+}
+
+// highest returns the highest position of the upstreams that have answered.
+func (c *OrderedPromotion) highest(now time.Time) wal.Position {
+	var highest wal.Position
+	for _, r := range c.replicas() {
+		if r.isPaused(now) && r.status.Received.Compare(highest) > 0 {
+			highest = r.status.Received
+		}
+	}
+	return highest
 }
 
 // leastPosition returns the position that the target must have at least.
 func (c *OrderedPromotion) leastPosition(now time.Time) wal.Position {
-	h := c.findCandidate(c.holder.upstream)
-	avoided := c.reason == ReasonUnanswered || c.planned || c.restored == c.holder.upstream && now.Sub(c.finishedAt) < restoredMemory
-	switch {
-	case c.recorded || !c.hasHolder(now):
-		return c.acknowledged.Least
-	case c.freeze.silent > 0 && c.reason != ReasonUnanswered:
-		return h.status.Received
-	case avoided:
-		return c.acknowledged.Least
-	}
-	return c.acknowledged.Most
+	least := c.acknowledged.Least
+	switch unsure := c.freeze.silent > 0 || c.freeze.forgetful; {
+	case c.hasHolder(now) && unsure, unsure && now.Sub(c.holder.answeredAt) < vanishedTimeout:
+		return c.holder.position // it bounds what these instances have acknowledged
+	case c.hasHolder(now) && !c.recorded && !c.planned && c.reason != ReasonUnanswered:
+		least = c.acknowledged.Most
+	}
+	noSurveyWait := c.reason == ReasonUnanswered && now.Sub(c.pausesSince) < vanishedTimeout
+	if (c.hasHolder(now) || noSurveyWait) && c.lastKept.Compare(least) > 0 {
+		return c.lastKept
+	}
+	return least
 }
 
 // avoidHolder returns the target to take instead of the holder: the one with the highest position
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -111,6 +111,7 @@
 	surveyedAt  time.Time    // when the last answered survey was sent; zero without an answer
 	position    wal.Position // position of its log in the last answer to a survey; zero if unknown
 	nextCommand time.Time    // earliest time of the next command to the replica
+	pauseTerm   uint64       // term of the last pause that was sent
 }
 
 // OrderedPromotion is the state machine of one group's ordered promotions.
@@ -145,8 +146,8 @@
 	acknowledged        Acknowledged // commits that the gateways have told
 	freeze              freeze
 	holder              holder
-	restored            string // old primary that the last change ordered again, or ""
-	openOrders          int    // orders without an answer, which may still be carried out
+	pausesSince         time.Time // when the change first went on to pauses
+	openOrders          int       // orders without an answer, which may still be carried out
 	finishedAt          time.Time
 	reason              string
 
@@ -185,6 +186,9 @@
 // replica that has started since is not paused and may acknowledge such commits.
 func (c *OrderedPromotion) KeptPosition() wal.Position { return c.keptPosition }
 
+// Term returns the newest term that is known, which the present change ends.
+func (c *OrderedPromotion) Term() uint64 { return c.term }
+
 // HandleKept records that a promotion was carried out, and the position up to which it kept the
 // commits of the primary before.
 func (c *OrderedPromotion) HandleKept(kept wal.Position) {
@@ -209,7 +213,7 @@
 	}
 	c.planned, c.reason, c.target, c.orderRefused = planned, reason, "", false
 	c.pausing, c.ordersSent = false, 0
-	c.freeze, c.holder = freeze{}, holder{}
+	c.freeze, c.holder, c.pausesSince = freeze{}, holder{}, time.Time{}
 	for i := range c.vanished {
 		c.vanished[i].before = true
 	}
@@ -232,6 +236,9 @@
 		}
 		c.lackingSince = time.Time{}
 	}
+	if p == PhasePause && c.pausesSince.IsZero() {
+		c.pausesSince = now
+	}
 	c.phase, c.since, c.nextCommand = p, now, now
 }
 
@@ -384,7 +391,11 @@
 	if c.lackingSince.IsZero() {
 		c.lackingSince = now
 	}
-	return now.Sub(c.primarySeen) < primarySeenValidity || now.Sub(c.lackingSince) < vanishedTimeout
+	seen := now.Sub(c.primarySeen) < primarySeenValidity
+	if !c.recorded && seen && c.reason == ReasonUnanswered {
+		return false // it can be demoted, and ordered again if no other upstream has as much
+	}
+	return seen || now.Sub(c.lackingSince) < vanishedTimeout
 }
 
 // HandleSurvey takes a replica's answer to a survey that was sent at the given time: whether
@@ -431,7 +442,7 @@
 			continue
 		}
 		if !now.Before(r.nextCommand) {
-			r.nextCommand = now.Add(commandInterval)
+			r.nextCommand, r.pauseTerm = now.Add(commandInterval), c.term+1
 			c.pausing = true
 			out = append(out, Command{Action: ActionPause, Upstream: r.Upstream, Term: c.term + 1})
 		}
@@ -457,6 +468,22 @@
 	if now.Before(c.nextCommand) {
 		return nil
 	}
+	opened := !c.recorded && c.freeze.silent > c.freeze.chosenSilent && now.Sub(c.since) >= freezeValidity
+	if c.keptPosition.Compare(c.acknowledged.Least) < 0 || opened {
+		// An instance that was silent has told of commits that the target lacks, or one does not
+		// renew its freeze and may acknowledge others. The next target needs another token,
+		// because the order may have been sent.
+		c.token, c.nextDraw, c.orderRefused = 0, now, true
+		c.enterPhase(now, PhasePause)
+		return nil
+	}
+	if c.ordersSent == 0 && now.Sub(c.since) >= pauseValidity {
+		c.enterPhase(now, PhasePause) // this instance was suspended
+		return nil
+	}
+	if !c.isFrozen(now) {
+		return nil
+	}
 	c.nextCommand = now.Add(commandInterval)
 	c.ordersSent++
 	c.openOrders++
@@ -540,6 +567,16 @@
 		c.enterPhase(now, PhasePause)
 		return
 	}
+	if r.pauseTerm > 0 && s.Term >= r.pauseTerm {
+		r.nextCommand = now // a pause for a term that has begun does nothing
+		return
+	}
+	if upstream == c.holder.upstream && s.Received.Compare(r.status.Received) < 0 {
+		c.holder.upstream = "" // it has started again without its log
+	}
+	if upstream == c.holder.upstream {
+		c.holder.answeredAt = sent
+	}
 	r.status, r.pausedAt = s, sent
 }
 
@@ -588,7 +625,7 @@
 	} else if r != nil {
 		best = r
 	}
-	c.target, c.keptPosition = best.Upstream, best.status.Received
+	c.target, c.keptPosition, c.freeze.chosenSilent = best.Upstream, best.status.Received, c.freeze.silent
 	if c.recorded && c.primary != "" {
 		c.enterPhase(now, PhaseDemote)
 		return
@@ -629,10 +666,7 @@
 		c.token, c.nextDraw, c.orderRefused = 0, now, true
 		c.enterPhase(now, PhasePause)
 	case ResponseDone:
-		c.answered, c.finishedAt, c.restored = cmd.Token, now, ""
-		if c.target == c.holder.upstream {
-			c.restored = c.target
-		}
+		c.answered, c.finishedAt = cmd.Token, now
 		c.setPrimary(now, c.target)
 		c.HandleKept(c.keptPosition)
 		return c.target, c.finishChange(now)
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -239,7 +239,7 @@
 			return
 		}
 		s := ReplicationStatus{Primary: w.primary == c.Upstream, Term: w.term, Received: w.position(c.Upstream)}
-		if !s.Primary {
+		if !s.Primary && c.Term > w.term {
 			w.paused[c.Upstream] = true
 		}
 		if answered {
@@ -249,11 +249,11 @@
 		x.promotion.HandleList(w.now)
 	case ActionFreeze:
 		if w.silent {
-			x.promotion.HandleFreeze(w.now, sent, c, Acknowledged{}, 1)
+			x.promotion.HandleFreeze(w.now, sent, c, nil, 1)
 			return
 		}
-		if a := w.gate.Freeze(w.now, c.Term, c.Token); answered {
-			x.promotion.HandleFreeze(w.now, sent, c, a, 0)
+		if w.gate.Freeze(w.now, c.Term, c.Token); answered {
+			x.promotion.HandleFreeze(w.now, sent, c, []FreezeAnswer{w.gate.Answer(w.now, epoch.Add(-time.Minute), 0)}, 0)
 		}
 	case ActionDemote:
 		if w.down[c.Upstream] {
--- a/core/failover/recorded.go
+++ b/core/failover/recorded.go
@@ -141,8 +141,14 @@
 	case demoted:
 		// The old primary has become a replica with the whole log.
 		c.primary = ""
-		if r := c.findCandidate(upstream); r != nil {
-			r.status, r.pausedAt = s, sent
+		if r := c.findCandidate(upstream); r != nil && s.Led {
+			r.status, r.pausedAt, c.holder = s, sent, holder{upstream: upstream, since: now, term: c.term, position: s.Received, answeredAt: sent}
+		}
+		if s.Received.Compare(c.keptPosition) > 0 {
+			// Some of the commits that the target lacks may be acknowledged. The instances know now.
+			c.freeze.at, c.freeze.next = time.Time{}, now
+			c.enterPhase(now, PhasePause)
+			return
 		}
 	case err == nil:
 		// It leads a later term, for which the replicas are not paused.
--- a/core/failover/vanished.go
+++ b/core/failover/vanished.go
@@ -51,7 +51,7 @@
 
 // setPrimary sets the primary, or "" if none is known, and keeps the one before it.
 func (c *OrderedPromotion) setPrimary(now time.Time, primary string) {
-	if primary == c.holder.upstream {
+	if primary != "" {
 		c.holder = holder{}
 	}
 	c.primary = primary
--- a/io/node/change.go
+++ b/io/node/change.go
@@ -117,7 +117,7 @@
 // orderPromotion orders a promotion from the platform and notifies the other instances.
 func (ps *primaries) orderPromotion(ctx context.Context, g *group, c failover.Command) {
 	ps.mu.Lock()
-	note := KeepNotice{g.name, c.Upstream, g.promotion.KeptPosition(), c.Token}
+	note := KeepNotice{g.name, c.Upstream, g.promotion.KeptPosition(), c.Token, g.promotion.Term()}
 	ps.mu.Unlock()
 	ps.recordPendingPromotion(note)
 	ps.n.broadcast(ctx, "Node.Keep", note)
@@ -208,7 +208,7 @@
 	}
 	g.pendingPromotion, g.pendingPromotionAt = note, ps.n.now()
 	if !ps.n.settings().Unfenced {
-		g.gate.Keep(ps.n.now(), note.Token, note.Kept)
+		g.gate.Keep(ps.n.now(), note.Token, max(note.Term, note.Kept.Term), note.Kept)
 	}
 	if ps.n.settings().Unfenced && g.primary != note.Upstream {
 		ps.supersede(g, note.Upstream)
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +27,8 @@
 	newInstanceAge = 3 * time.Second
 )
 
-// freeze freezes the commits of a group at this instance and returns the bounds of those that were
-// acknowledged before.
-func (ps *primaries) freeze(r FreezeRequest) failover.Acknowledged {
+// freeze freezes the commits of a group at this instance and tells which were acknowledged before.
+func (ps *primaries) freeze(r FreezeRequest) failover.FreezeAnswer {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	g, now := ps.group(r.Group), ps.n.now()
@@ -39,7 +39,8 @@
 	if r.Token >= g.frozen.Token {
 		g.frozen, g.frozenAt = r, now
 	}
-	return g.gate.Freeze(now, r.Term, r.Token)
+	g.gate.Freeze(now, r.Term, r.Token)
+	return g.gate.Answer(now, ps.startedAt, g.term)
 }
 
 // activeFreezes returns the freezes that may not have ended.
@@ -62,14 +63,15 @@
 // acknowledged. Instances that have not answered for a while are not waited for.
 func (ps *primaries) freezeGateways(ctx context.Context, g *group, c failover.Command) {
 	sent, r := ps.n.now(), FreezeRequest{g.name, c.Term, c.Token}
-	acknowledged := ps.freeze(r)
+	answers := []failover.FreezeAnswer{ps.freeze(r)}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	type answer struct {
 		reply *FreezeReply // nil without one
 		late  bool         // the instance was not expected to answer
 	}
-	instances := ps.n.snapshot.Load().instances
+	s := ps.n.snapshot.Load()
+	instances := slices.Concat(s.instances, s.leaving) // an instance that leaves finishes its work
 	results := make(chan answer, len(instances))
 	expected, silent := 0, 0
 	for _, i := range instances {
@@ -97,11 +99,15 @@
 		}
 		if a.reply != nil {
 			silent--
-			acknowledged = acknowledged.Join(a.reply.Acknowledged)
+			answers = append(answers, a.reply.Answer)
 		}
 	}
+	var acknowledged failover.Acknowledged
+	for _, a := range answers {
+		acknowledged = acknowledged.Join(a.Acknowledged)
+	}
 	ps.n.log.Info("group: gateways frozen", "group", g.name, "term", c.Term, "token", c.Token, "instances", len(instances), "silent", silent, "least", acknowledged.Least.String(), "most", acknowledged.Most.String(), "took", ps.n.now().Sub(sent))
-	ps.handleResult(func(now time.Time) { g.promotion.HandleFreeze(now, sent, c, acknowledged, silent) })
+	ps.handleResult(func(now time.Time) { g.promotion.HandleFreeze(now, sent, c, answers, silent) })
 }
 
 // isSuspect reports whether an instance has not answered for a while.
--- a/io/node/freeze_test.go
+++ b/io/node/freeze_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 			if got := n.passCommit(t.Context(), commit, acknowledged(time.Millisecond)); got.Code != test.want {
 				t.Errorf("code %q, want %q", got.Code, test.want)
 			}
-			if a := n.primaries.freeze(FreezeRequest{"g0", 1, 5}); (a.Most != wal.Position{}) != (test.want == call.OK) {
+			if a := n.primaries.freeze(FreezeRequest{"g0", 1, 5}).Acknowledged; (a.Most != wal.Position{}) != (test.want == call.OK) {
 				t.Errorf("acknowledged up to %v", a.Most)
 			}
 		})
@@ -82,9 +83,39 @@
 	n.draining.Store(true)
 	n.primaries.handOverAcknowledged(t.Context())
 	for _, o := range others {
-		if o.primaries.freeze(FreezeRequest{"g0", 1, 5}) == want {
+		if o.primaries.freeze(FreezeRequest{"g0", 1, 5}).Acknowledged == want {
 			return
 		}
 	}
 	t.Error("no other instance knows the commit")
 }
+
+// TestLeavingInstanceIsNotFrozen guards against commits that an instance acknowledges while it leaves.
+func TestLeavingInstanceIsNotFrozen(t *testing.T) {
+	n, others := newFencedNode(t, 2)
+	fleet := Table{Kind: KindInstance, Revision: 9, Objects: make(map[string]Object)}
+	for name, o := range n.tables.get(KindInstance).Objects {
+		var m member
+		if err := json.Unmarshal(o.Data, &m); err != nil {
+			t.Fatal(err)
+		}
+		m.Leaving = name == "b"
+		data, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet.Objects[name] = Object{Name: name, Revision: 9, Data: data}
+	}
+	n.tables.install(fleet)
+	n.rebuild()
+	n.primaries.mu.Lock()
+	g := n.primaries.group("g0")
+	n.primaries.mu.Unlock()
+	n.primaries.freezeGateways(t.Context(), g, failover.Command{Action: failover.ActionFreeze, Term: 1, Token: 5})
+	leaving := others[0].primaries
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	if token := leaving.group("g0").frozen.Token; token != 5 {
+		t.Errorf("frozen by token %d, want 5", token)
+	}
+}
--- a/io/node/large_test.go
+++ b/io/node/large_test.go
@@ -138,7 +138,7 @@
 	if n.primaries.mayDropCommit(old, at(1, 90)) {
 		t.Error("a commit may be dropped without a promotion")
 	}
-	n.primaries.recordPendingPromotion(KeepNotice{"g0", "next", at(1, 82), 0})
+	n.primaries.recordPendingPromotion(KeepNotice{"g0", "next", at(1, 82), 0, 0})
 	for _, test := range []struct {
 		name  string
 		u     *upstream
@@ -223,7 +223,7 @@
 		ps.setPrimary(ps.group("g0"), "u0", "test")
 		ps.mu.Unlock()
 		ps.recordProof("g0", "u0", now, at(1, 80), now, false)
-		ps.recordPendingPromotion(KeepNotice{"g0", "u1", at(1, 82), 5})
+		ps.recordPendingPromotion(KeepNotice{"g0", "u1", at(1, 82), 5, 0})
 		return n, ps.group("g0")
 	}
 	read := call.Request{Group: "g0", Upstream: "u0", Open: call.OpenFence, Statement: call.Statement{Kind: call.Read}}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -47,8 +47,10 @@
 type KeepNotice struct {
 	Group, Upstream string
 	Kept            wal.Position
-	// Token is the fencing token of the order on a platform that does not check tokens.
+	// Token is the fencing token of the order.
 	Token uint64
+	// Term is the term that the promotion ends, or 0 from an instance of an older build.
+	Term uint64
 }
 
 // FreezeRequest asks an instance to acknowledge no further commits of a term, because the
@@ -58,8 +60,8 @@
 	Term, Token uint64
 }
 
-// FreezeReply has the bounds of the commits that the instance has acknowledged.
-type FreezeReply struct{ Acknowledged failover.Acknowledged }
+// FreezeReply is the answer to a FreezeRequest.
+type FreezeReply struct{ Answer failover.FreezeAnswer }
 
 // DemoteRequest requests the demotion of an upstream that the sender does not reach.
 type DemoteRequest struct {
@@ -222,7 +224,7 @@
 
 // Freeze lets this instance acknowledge no further commits of a term.
 func (s *service) Freeze(r FreezeRequest, reply *FreezeReply) error {
-	reply.Acknowledged = s.n.primaries.freeze(r)
+	reply.Answer = s.n.primaries.freeze(r)
 	return nil
 }
 
--- a/io/node/snapshot.go
+++ b/io/node/snapshot.go
@@ -53,6 +53,7 @@
 	// instances lists those that take work, sorted by address. runningInstances also counts
 	// instances that are leaving and may still run.
 	instances        []placement.Instance
+	leaving          []placement.Instance // instances that take no new work
 	runningInstances int
 	// delegates is set if all known instances support limits by delegated parts.
 	delegates bool
@@ -206,11 +207,12 @@
 		s.runningInstances++
 		s.delegates = s.delegates && m.Delegates
 		s.objectNames[m.Address] = o.Name
-		if !m.Leaving {
-			s.instances = append(s.instances, placement.Instance{
-				ID: m.ID, Address: m.Address, Domain: m.Domain, Region: n.settings().Region(m.Domain),
-			})
+		i := placement.Instance{ID: m.ID, Address: m.Address, Domain: m.Domain, Region: n.settings().Region(m.Domain)}
+		if m.Leaving {
+			s.leaving = append(s.leaving, i)
+			continue
 		}
+		s.instances = append(s.instances, i)
 	}
 	if !slices.ContainsFunc(s.instances, func(i placement.Instance) bool { return i.Address == n.self.Address }) {
 		s.instances = append(s.instances, n.self)
--- a/io/node/supersede.go
+++ b/io/node/supersede.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"burdockseam/core/call"
 	"burdockseam/core/failover"
 	"burdockseam/core/wal"
+	"burdockseam/io/gateway"
 )
 
 const (
@@ -38,6 +40,10 @@
 	if u := ps.n.snapshot.Load().upstreams[c.Upstream]; u != nil {
 		s, err = ps.demoteAnywhere(ctx, DemoteRequest{ps.controlTarget(u), c.Term})
 	}
+	var refused gateway.RefusedError
+	if errors.As(err, &refused) && (refused.Code == call.Busy || refused.Code == call.TooMany) {
+		err = errors.Join(err, failover.ErrRefused)
+	}
 	ps.n.log.Info("group: demotion of the old primary", "group", g.name, "upstream", c.Upstream, "term", c.Term, "primary", s.Primary, "led", s.Led, "received", s.Received.String(), "err", errorText(err))
 	ps.handleResult(func(now time.Time) { g.promotion.HandleDemote(now, sent, c.Upstream, s, err, time.Time{}) })
 }
@@ -233,7 +239,7 @@
 // instances if this one does not reach it.
 func (ps *primaries) demoteOld(ctx context.Context, g *group, c failover.Command) {
 	ps.mu.Lock()
-	note := KeepNotice{g.name, g.promotion.Target(), g.promotion.KeptPosition(), g.promotion.Token()}
+	note := KeepNotice{g.name, g.promotion.Target(), g.promotion.KeptPosition(), g.promotion.Token(), g.promotion.Term()}
 	underWay := g.promotion.Phase() == failover.PhaseDemote
 	ps.mu.Unlock()
 	began := ps.n.now()
