failover: A lapsed entry of the old primary does not hold up a change

With an instance that did not answer, a change waited for the attempt to demote the old primary, and an attempt at one whose entry had lapsed did not count: no primary until the instance was back or removed. Found in reading. TestUnlistedPrimaryIsNotDemoted failed before: phase pause.

--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -7,8 +7,9 @@
 //   - Frozen gateways. The instances that acknowledge commits have told which ones, and
 //     acknowledge no others. Nothing is ordered that lacks what they have acknowledged. On a
 //     platform that does not check fencing tokens, they only tell; see recorded.go for the rest.
-//   - The holder, where the platform checks fencing tokens. An old primary that led until it was demoted has every acknowledged commit. It
-//     can be ordered again, so that no other upstream has to be waited for.
+//   - The holder. An old primary that led until it was demoted has every acknowledged commit. It
+//     can be ordered again, so that no other upstream has to be waited for. Where the platform
+//     does not check fencing tokens, the demotion comes after the choice of a target.
 
 import (
 	"cmp"
@@ -135,11 +136,11 @@
 
 // handleHolder takes the answer to the demotion of the old primary.
 func (c *OrderedPromotion) handleHolder(now, sent time.Time, upstream string, s ReplicationStatus, err error) {
-	r := c.findCandidate(upstream)
-	if r == nil || c.phase != PhasePause || upstream != c.primary {
+	if c.phase != PhasePause || upstream != c.primary {
 		return
 	}
-	if err != nil {
+	r := c.findCandidate(upstream)
+	if err != nil || r == nil {
 		c.holder.refusals++
 		c.holder.attempted = !errors.Is(err, ErrRefused) || c.holder.refusals >= maxRefusals
 		return
--- a/core/failover/outdated_test.go
+++ b/core/failover/outdated_test.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// TestUnlistedPrimaryIsNotDemoted guards against a change that never ends, because an instance does not
+// answer and the entry of the crashed primary has lapsed.
+func TestUnlistedPrimaryIsNotDemoted(t *testing.T) {
+	c := NewOrderedPromotion(1)
+	now := startPauses(t, c)
+	c.SetMembers(now, "a", 1, []Candidate{{Upstream: "b"}, {Upstream: "c"}})
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), 1)
+	c.HandleDemote(now, now, "a", ReplicationStatus{}, errNoAnswer, time.Time{})
+	if c.Tick(now); c.Phase() != PhaseList {
+		t.Errorf("phase %s, want %s", c.Phase(), PhaseList)
+	}
+}
+
 // TestDemotedPrimaryHasMore guards against an order on a platform without fencing for a target that
 // lacks commits which the old primary acknowledged until its demotion.
 func TestDemotedPrimaryHasMore(t *testing.T) {
