failover: A freeze is not renewed for the term of the change's own order

An order that got no answer may have been carried out. The coordinator then learned of the new term by a renewed freeze, froze that term, so that commits of the new primary waited or were in doubt for up to 6 s, and took commits acknowledged there for ones that its target lacks, which began the pauses again. Found in reading.

While an order may have been sent, a newer term changes nothing: the repeated order is answered or refused. TestFreezeOfOrderedTerm failed before: term 2 is frozen, want 1.

--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -79,9 +79,10 @@
 // HandleFreeze takes the answers of the instances to a freeze that was sent at the given time, and the
 // number of instances without an answer.
 func (c *OrderedPromotion) HandleFreeze(now, sent time.Time, cmd Command, answers []FreezeAnswer, silent int) {
+	ordered := c.phase == PhaseOrder && c.ordersSent > 0 // a newer term may be the order's own
 	for _, a := range answers {
 		c.acknowledged = c.acknowledged.Join(a.Acknowledged)
-		if a.Term > c.term {
+		if a.Term > c.term && !ordered {
 			c.term, c.freeze.next = a.Term, now
 		}
 	}
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -469,7 +469,8 @@
 		return nil
 	}
 	opened := !c.recorded && c.freeze.silent > c.freeze.chosenSilent && now.Sub(c.since) >= freezeValidity
-	if c.keptPosition.Compare(c.acknowledged.Least) < 0 || opened {
+	lacks := c.keptPosition.Compare(c.acknowledged.Least) < 0 && c.acknowledged.Least.Term <= c.term
+	if lacks || opened {
 		// An instance that was silent has told of commits that the target lacks, or one does not
 		// renew its freeze and may acknowledge others. The next target needs another token,
 		// because the order may have been sent.
--- a/core/failover/outdated_test.go
+++ b/core/failover/outdated_test.go
@@ -78,6 +78,38 @@
 	})
 }
 
+// TestFreezeOfOrderedTerm guards against commits of the new primary that wait, because its order was
+// carried out without an answer and a renewed freeze takes its term for that of the old primary.
+func TestFreezeOfOrderedTerm(t *testing.T) {
+	c := NewOrderedPromotion(1)
+	now := startPauses(t, c)
+	freeze := Command{Action: ActionFreeze, Term: 1, Token: 1}
+	c.HandleFreeze(now, now, freeze, answersOf(at(95)), 0)
+	c.Tick(now)
+	c.HandleList(now)
+	c.Tick(now)
+	c.HandleOrder(now, Command{Action: ActionOrderPromotion, Upstream: c.Target(), Token: 1}, ResponseUnknown)
+	c.HandleFreeze(now, now.Add(time.Millisecond), freeze, answersOf(wal.Position{Term: 2, Offset: 97}), 0)
+	freezes, orders := 0, 0
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		for _, cmd := range c.Tick(now) {
+			switch cmd.Action {
+			case ActionFreeze:
+				if freezes++; cmd.Term != 1 {
+					t.Fatalf("term %d is frozen, want 1", cmd.Term)
+				}
+				c.HandleFreeze(now, now, cmd, answersOf(wal.Position{Term: 2, Offset: 97}), 0)
+			case ActionOrderPromotion:
+				orders++
+			}
+		}
+	}
+	if freezes == 0 || orders == 0 {
+		t.Errorf("%d freezes and %d orders in 2 s, want some", freezes, orders)
+	}
+}
+
 // TestHolderStartsAgainWithoutLog guards against a demoted primary that has started again under its
 // name with nothing, and still stands for every acknowledged commit.
 func TestHolderStartsAgainWithoutLog(t *testing.T) {
