--- a/io/node/route.go
+++ b/io/node/route.go
@@ -235,6 +235,7 @@
 		r = call.Reply{Ran: call.RanMaybe, Answer: call.Answer{Code: call.InDoubt, Text: "the primary is being replaced"}}
 	}
 	if commit && r.Code == call.OK && c.gateway.Address != n.self.Address {
+		req.Budget = deadline.Sub(n.now())
 		r = n.passCommit(ctx, req, r)
 	}
 	if r.Code == call.OK && op.Kind != "" && op.Upstream == "" && s.Kind != call.Commit {
