node: Commits on a platform without fencing count when they pass

Instances there did not note when they acknowledged a commit, and seemed to have forgotten all. A primary that reached no replica was then ordered again and again instead of being replaced. Found in reading, not seen played. TestStalledPrimaryIsOrderedAgain failed before: primary "a".

--- a/core/failover/gate.go
+++ b/core/failover/gate.go
@@ -60,6 +60,11 @@
 // Learn records the bounds of commits that another instance has acknowledged.
 func (g *CommitGate) Learn(a Acknowledged) { g.acknowledged = g.acknowledged.Join(a) }
 
+// Record records a commit that is acknowledged here without the gate's decision.
+func (g *CommitGate) Record(now time.Time, commit Acknowledged) {
+	g.acknowledged, g.passedAt = g.acknowledged.Join(commit), now
+}
+
 // Freeze freezes the commits of a term for the change of primary with a fencing token, or renews
 // the freeze. It returns the bounds of the commits that were acknowledged before.
 func (g *CommitGate) Freeze(now time.Time, term, token uint64) Acknowledged {
@@ -100,7 +105,7 @@
 	default:
 		return PassageWait
 	}
-	g.acknowledged, g.passedAt = g.acknowledged.Join(commit), now
+	g.Record(now, commit)
 	return PassageOpen
 }
 
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -134,7 +134,7 @@
 // acknowledge passes the acknowledgement of a commit through the gate.
 func (w *orderedWorld) acknowledge(id int, end wal.Position) {
 	if w.unfenced {
-		w.gate.Learn(CommitBounds(wal.Position{Term: end.Term, Offset: end.Offset - 1}, end))
+		w.gate.Record(w.now, CommitBounds(wal.Position{Term: end.Term, Offset: end.Offset - 1}, end))
 		w.acked = append(w.acked, id)
 		return
 	}
--- a/core/failover/outdated_test.go
+++ b/core/failover/outdated_test.go
@@ -169,3 +169,21 @@
 		t.Errorf("lost %v, term %d, want none and a promotion", w.lost, w.term)
 	}
 }
+
+// TestStalledPrimaryIsOrderedAgain guards against a platform without fencing on which a primary that
+// reaches no replica is ordered again and again.
+func TestStalledPrimaryIsOrderedAgain(t *testing.T) {
+	w := newUnfencedWorld(1)
+	x := w.instances[0]
+	w.commit(everywhere)
+	play(w, x, time.Second, func() { w.commit(everywhere) })
+	x.promotion.Start(w.now, false, ReasonUnanswered)
+	play(w, x, 3*time.Second, func() {
+		if w.primary == "a" {
+			w.commit(nil) // without an answer
+		}
+	})
+	if w.primary == "a" || w.primary == "" || len(w.lost) > 0 {
+		t.Errorf("primary %q, lost %v, want b or c and none", w.primary, w.lost)
+	}
+}
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -126,7 +126,7 @@
 	}
 	commit := failover.CommitBounds(reply.Sample.Before, reply.Position)
 	if n.settings().Unfenced {
-		n.primaries.learnAcknowledged(map[string]failover.Acknowledged{r.Group: commit})
+		n.primaries.recordAcknowledged(r.Group, commit)
 		return reply // confirmCommit and the announcement of the promotion decide
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Budget)
@@ -181,6 +181,13 @@
 	return g.gate.Pass(ps.n.now(), g.term, commit)
 }
 
+// recordAcknowledged records a commit that is acknowledged whatever the group's gate says.
+func (ps *primaries) recordAcknowledged(name string, commit failover.Acknowledged) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.group(name).gate.Record(ps.n.now(), commit)
+}
+
 // absence says why an instance may have missed a freeze.
 type absence string
 
