failover: After a restart of all instances, the choice waits for the old primary

Cause: a change waited for that answer only if an instance was silent, or if nobody had what instances had told. The position of the old primary was a bound only once it was known.

Change: instances that may have forgotten count like silent ones there, too. A crashed primary costs the attempt, 0.4 s at most beside the pauses.

TestForgetfulInstancesBeforeDemotion failed before: phase list.

--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -125,7 +125,7 @@
 	if c.recorded || c.primary == "" || now.Before(c.holder.nextAttempt) {
 		return nil
 	}
-	needed := allPaused && c.isFrozen(now) && (c.freeze.silent > 0 || c.lacksAcknowledged(now))
+	needed := allPaused && c.isFrozen(now) && (c.unsure() || c.lacksAcknowledged(now))
 	stuck := now.Sub(c.since) >= pauseValidity // a replica does not answer any more
 	if c.planned && !needed && !stuck {
 		return nil
@@ -183,9 +183,12 @@
 	if !c.isFrozen(now) || c.highest(now).Compare(c.leastPosition(now)) < 0 && !mayDemote {
 		return false
 	}
-	return c.recorded || c.primary == "" || c.holder.attempted || c.freeze.silent == 0 && c.highest(now).Compare(c.acknowledged.Most) >= 0
+	return c.recorded || c.primary == "" || c.holder.attempted || !c.unsure() && c.highest(now).Compare(c.acknowledged.Most) >= 0
 }
 
+// unsure reports whether an instance may have acknowledged commits that it has not told.
+func (c *OrderedPromotion) unsure() bool { return c.freeze.silent > 0 || c.freeze.forgetful }
+
 // highest returns the highest position of the upstreams that have answered.
 func (c *OrderedPromotion) highest(now time.Time) wal.Position {
 	var highest wal.Position
@@ -200,8 +203,8 @@
 // leastPosition returns the position that the target must have at least.
 func (c *OrderedPromotion) leastPosition(now time.Time) wal.Position {
 	least := c.acknowledged.Least
-	switch unsure := c.freeze.silent > 0 || c.freeze.forgetful; {
-	case c.hasHolder(now) && unsure, unsure && now.Sub(c.holder.answeredAt) < vanishedTimeout:
+	switch {
+	case c.hasHolder(now) && c.unsure(), c.unsure() && now.Sub(c.holder.answeredAt) < vanishedTimeout:
 		return c.holder.position // it bounds what these instances have acknowledged
 	case c.hasHolder(now) && !c.recorded && !c.planned && c.reason != ReasonUnanswered:
 		least = c.acknowledged.Most
--- a/core/failover/outdated_test.go
+++ b/core/failover/outdated_test.go
@@ -137,6 +137,22 @@
 	}
 }
 
+// TestForgetfulInstancesBeforeDemotion guards against a choice by what instances know that have all
+// started again, before the demotion of the old primary is answered.
+func TestForgetfulInstancesBeforeDemotion(t *testing.T) {
+	c := NewOrderedPromotion(1)
+	now := startPauses(t, c)
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, []FreezeAnswer{{Age: time.Second, Idle: time.Second}}, 0)
+	if c.Tick(now); c.Phase() != PhasePause {
+		t.Errorf("phase %s, want %s", c.Phase(), PhasePause)
+	}
+	c.HandleDemote(now, now, "a", ReplicationStatus{Term: 1, Received: at(100), Led: true}, nil, time.Time{})
+	c.Tick(now)
+	if c.HandleList(now); c.Target() != "a" {
+		t.Errorf("target %q in phase %s, want a", c.Target(), c.Phase())
+	}
+}
+
 // TestUnlistedPrimaryIsNotDemoted guards against a change that never ends, because an instance does not
 // answer and the entry of the crashed primary has lapsed.
 func TestUnlistedPrimaryIsNotDemoted(t *testing.T) {
