--- a/spec/holder.pml
+++ b/spec/holder.pml
@@ -22,7 +22,8 @@
  * that were under way in doubt. So an order is assumed to be carried out, and the answer to a
  * commit to arrive, before the freeze ends.
  *
- * Coordinator. It gives up a change whose freeze has ended. Before each change it may be replaced by an instance that knows of no commit. It
+ * Coordinator. It gives up a change whose freeze has ended. Before each change it may be
+ * replaced by an instance that knows of no commit. It
  * goes on only if all gateways answered the freeze or the old primary was demoted; without either
  * commits are lost (GAP).
  *
