node: Logs of entries that disappear and of what a choice of primary rests on

The logs of a lost commit did not tell whether a change waited for an upstream without an entry, and which instances were silent when its target was chosen.

--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -141,6 +141,7 @@
 	heldUpstream        string        // upstream whose new work is held; "" if there is none
 	target              string
 	keptPosition        wal.Position // what the target had received when it was chosen
+	evidence            Evidence     // what was known then
 	lastKept            wal.Position // what the last promotion kept; all commits acknowledged before it are in there
 	lackingSince        time.Time    // since when no replica has lastKept; zero if one has
 	acknowledged        Acknowledged // commits that the gateways have told
@@ -181,6 +182,9 @@
 // before the first choice.
 func (c *OrderedPromotion) Target() string { return c.target }
 
+// Evidence returns what was known when the target was chosen.
+func (c *OrderedPromotion) Evidence() Evidence { return c.evidence }
+
 // KeptPosition returns the position up to which the target's promotion keeps the commits of
 // the old primary. Later commits were not acknowledged when the replicas were paused, but a
 // replica that has started since is not paused and may acknowledge such commits.
@@ -627,6 +631,7 @@
 		best = r
 	}
 	c.target, c.keptPosition, c.freeze.chosenSilent = best.Upstream, best.status.Received, c.freeze.silent
+	c.evidence = c.newEvidence(now)
 	if c.recorded && c.primary != "" {
 		c.enterPhase(now, PhaseDemote)
 		return
--- a/core/failover/vanished.go
+++ b/core/failover/vanished.go
@@ -6,7 +6,9 @@
 // is cut off from the store while the group goes on elsewhere.
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,18 +19,32 @@
 	before bool // it disappeared before the change began
 }
 
-// SetMembers sets the group's upstreams and the highest term seen. The answers of upstreams
-// that stay in the group are kept. The primary is replaced only while no change is under
-// way.
-func (c *OrderedPromotion) SetMembers(now time.Time, primary string, term uint64, list []Candidate) {
+// Disappearance is an upstream whose entry has just disappeared, for logs.
+type Disappearance struct {
+	Upstream string
+	Leaving  bool
+	// Remembered is set if a change may wait for the upstream.
+	Remembered bool
+}
+
+// SetMembers sets the group's upstreams and the highest term seen, and returns the upstreams whose
+// entries have disappeared. The answers of upstreams that stay in the group are kept. The primary is
+// replaced only while no change is under way.
+func (c *OrderedPromotion) SetMembers(now time.Time, primary string, term uint64, list []Candidate) []Disappearance {
 	c.term = max(c.term, term)
 	isListed := func(upstream string) bool {
 		return slices.ContainsFunc(list, func(m Candidate) bool { return m.Upstream == upstream })
 	}
+	var disappeared []Disappearance
 	for _, r := range c.candidates {
-		if !isListed(r.Upstream) && c.mayHoldCommits(now, r.Upstream) {
+		if isListed(r.Upstream) {
+			continue
+		}
+		d := Disappearance{r.Upstream, r.Ineligible, c.mayHoldCommits(now, r.Upstream)}
+		if d.Remembered {
 			c.vanished = append(c.vanished, vanishedCandidate{Candidate: r.Candidate, at: now})
 		}
+		disappeared = append(disappeared, d)
 	}
 	// An upstream that is listed again can be asked itself.
 	c.vanished = slices.DeleteFunc(c.vanished, func(v vanishedCandidate) bool {
@@ -47,6 +63,7 @@
 	if c.phase == PhaseIdle {
 		c.setPrimary(now, primary)
 	}
+	return disappeared
 }
 
 // setPrimary sets the primary, or "" if none is known, and keeps the one before it.
@@ -85,3 +102,13 @@
 		return mayReturn && now.Sub(v.at) < vanishedTimeout
 	})
 }
+
+// describeVanished lists the upstreams whose entries have disappeared and may come back, with the time
+// since then.
+func (c *OrderedPromotion) describeVanished(now time.Time) string {
+	var list []string
+	for _, v := range c.vanished {
+		list = append(list, fmt.Sprintf("%s %dms", v.Upstream, now.Sub(v.at).Milliseconds()))
+	}
+	return strings.Join(list, ", ")
+}
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -357,7 +357,9 @@
 	if last, _, ok := g.floors.Last(); ok {
 		term = last.Term
 	}
-	g.promotion.SetMembers(ps.n.now(), g.primary, term, list)
+	for _, d := range g.promotion.SetMembers(ps.n.now(), g.primary, term, list) {
+		ps.n.log.Info("group: entry of an upstream disappeared", "group", g.name, "upstream", d.Upstream, "leaving", d.Leaving, "primary", g.primary, "phase", g.promotion.Phase(), "remembered", d.Remembered)
+	}
 }
 
 // recordProof records that an upstream was the primary at the given time or later. Commit
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -94,6 +94,9 @@
 	if p := g.promotion.Phase(); p != g.lastPhase {
 		ps.n.log.Info("group: change of primary reached a phase", "group", name, "phase", p, "target", g.promotion.Target(), "took", now.Sub(g.begunAt))
 		g.lastPhase = p
+		if p == failover.PhaseOrder || p == failover.PhaseDemote {
+			ps.recordChoice(g)
+		}
 	}
 	if least, highest, waits := g.promotion.Lacking(now); waits && now.Sub(g.lackingLoggedAt) >= lackingLogInterval {
 		g.lackingLoggedAt = now
@@ -103,6 +106,18 @@
 	return g.promotion.Phase() != failover.PhaseIdle
 }
 
+// recordChoice logs the choice of a target and counts one that a commit may be missing from. The
+// caller holds the lock.
+func (ps *primaries) recordChoice(g *group) {
+	e := g.promotion.Evidence()
+	ps.n.log.Info("group: target chosen", "group", g.name, "target", g.promotion.Target(), "kept", g.promotion.KeptPosition().String(), "planned", e.Planned,
+		"primary", e.Primary, "demoted", e.Demoted, "tried", e.DemotionTried, "silent", e.Silent, "forgetful", e.Forgetful,
+		"least", e.Acknowledged.Least.String(), "most", e.Acknowledged.Most.String(), "vanished", e.Vanished)
+	if e.Unconfirmed() {
+		ps.n.metrics.increment("burdockseam_promotions_total{step=\"unconfirmed\"}")
+	}
+}
+
 // checkPrimary decides whether the primary needs a probe or a promotion. The caller holds
 // the lock.
 func (ps *primaries) checkPrimary(ctx context.Context, g *group, s *snapshot, now time.Time) {
