failover: A change waits for upstreams that are cut off together with a silent instance

Cause: a change left out upstreams whose entries had expired behind a cut. A switchover waited for none of them, since its hold has ended new work, but no gateway behind the cut takes part in the hold; a failover did not wait for one that was leaving or had led before, and for the others only 8 s.

Change: the choice of a target waits while an instance is silent in the failure domain of an upstream without an entry, unless the old primary was demoted or the instances have told all. Freezes tell in which failure domains instances are silent.

--- a/core/failover/holder.go
+++ b/core/failover/holder.go
@@ -46,7 +46,8 @@
 type freeze struct {
 	at          time.Time // when the newest answered freeze was sent; zero without one
 	term, token uint64
-	silent      int // instances that did not answer it
+	// silentDomains are the failure domains of the instances that did not answer it.
+	silentDomains []string
 	// chosenSilent is their number when the target was chosen.
 	chosenSilent int
 	forgetful    bool      // an instance may have forgotten the newest commits
@@ -77,8 +78,8 @@
 }
 
 // HandleFreeze takes the answers of the instances to a freeze that was sent at the given time, and the
-// number of instances without an answer.
-func (c *OrderedPromotion) HandleFreeze(now, sent time.Time, cmd Command, answers []FreezeAnswer, silent int) {
+// failure domains of the instances without an answer.
+func (c *OrderedPromotion) HandleFreeze(now, sent time.Time, cmd Command, answers []FreezeAnswer, silent []string) {
 	ordered := c.phase == PhaseOrder && c.ordersSent > 0 // a newer term may be the order's own
 	for _, a := range answers {
 		c.acknowledged = c.acknowledged.Join(a.Acknowledged)
@@ -87,7 +88,7 @@
 		}
 	}
 	if cmd.Token == c.token && sent.After(c.freeze.at) {
-		c.freeze.at, c.freeze.term, c.freeze.token, c.freeze.silent = sent, cmd.Term, cmd.Token, silent
+		c.freeze.at, c.freeze.term, c.freeze.token, c.freeze.silentDomains = sent, cmd.Term, cmd.Token, silent
 		c.freeze.forgetful = mayHaveForgotten(answers)
 	}
 }
@@ -125,7 +126,7 @@
 	if c.recorded || c.primary == "" || now.Before(c.holder.nextAttempt) {
 		return nil
 	}
-	needed := allPaused && c.isFrozen(now) && (c.unsure() || c.lacksAcknowledged(now))
+	needed := allPaused && c.isFrozen(now) && (c.unsure() || c.lacksAcknowledged(now) || len(c.awaited(now)) > 0)
 	stuck := now.Sub(c.since) >= pauseValidity // a replica does not answer any more
 	if c.planned && !needed && !stuck {
 		return nil
@@ -183,11 +184,16 @@
 	if !c.isFrozen(now) || c.highest(now).Compare(c.leastPosition(now)) < 0 && !mayDemote {
 		return false
 	}
+	if !mayDemote && len(c.awaited(now)) > 0 {
+		return false
+	}
 	return c.recorded || c.primary == "" || c.holder.attempted || !c.unsure() && c.highest(now).Compare(c.acknowledged.Most) >= 0
 }
 
 // unsure reports whether an instance may have acknowledged commits that it has not told.
-func (c *OrderedPromotion) unsure() bool { return c.freeze.silent > 0 || c.freeze.forgetful }
+func (c *OrderedPromotion) unsure() bool {
+	return len(c.freeze.silentDomains) > 0 || c.freeze.forgetful
+}
 
 // Evidence is what was known about acknowledged commits when a target was chosen, for logs.
 type Evidence struct {
@@ -208,7 +214,7 @@
 func (c *OrderedPromotion) newEvidence(now time.Time) Evidence {
 	return Evidence{
 		Planned: c.planned, Primary: c.primary, Demoted: c.hasHolder(now), DemotionTried: c.holder.attempted,
-		Silent: c.freeze.silent, Forgetful: c.freeze.forgetful, Acknowledged: c.acknowledged, Vanished: c.describeVanished(now),
+		Silent: len(c.freeze.silentDomains), Forgetful: c.freeze.forgetful, Acknowledged: c.acknowledged, Vanished: describe(now, c.vanished),
 	}
 }
 
--- a/core/failover/holder_test.go
+++ b/core/failover/holder_test.go
@@ -170,7 +170,7 @@
 		for len(x.commands) > 0 {
 			if c := x.commands[0]; c.Action == ActionFreeze {
 				x.commands, x.sent = x.commands[1:], x.sent[1:]
-				x.promotion.HandleFreeze(w.now, w.now, c, []FreezeAnswer{{Acknowledged: Acknowledged{Most: wal.Position{Term: w.term, Offset: 1}}}}, 1)
+				x.promotion.HandleFreeze(w.now, w.now, c, []FreezeAnswer{{Acknowledged: Acknowledged{Most: wal.Position{Term: w.term, Offset: 1}}}}, []string{"x"})
 				continue
 			}
 			w.performCommand(x, 0, true)
--- a/core/failover/joins_test.go
+++ b/core/failover/joins_test.go
@@ -49,7 +49,7 @@
 		k := rapid.IntRange(0, len(w.coordinators)-1).Draw(w.t, "coordinator")
 		x := w.coordinators[k]
 		g := rapid.IntRange(0, len(w.gateways)-1).Draw(w.t, "gateway")
-		switch action := rapid.SampledFrom([]string{"wait", "start", "start", "start", "receives", "receives", "crash", "crash", "crash primary", "back", "back", "back renamed", "restart", "join", "leaving", "leave", "store", "silent", "new gateway", "new coordinator", "cut", "stale", "coordinating"}).Draw(w.t, "action"); action {
+		switch action := rapid.SampledFrom([]string{"wait", "start", "start", "start", "receives", "receives", "crash", "crash", "crash primary", "back", "back", "back renamed", "restart", "join", "leaving", "leave", "store", "silent", "new gateway", "new coordinator", "cut", "cut off", "cut off", "heal", "stale", "coordinating"}).Draw(w.t, "action"); action {
 		case "start":
 			x.coordinating = true
 			switch rapid.IntRange(0, 3).Draw(w.t, "reason") {
@@ -74,7 +74,7 @@
 			}
 		case "restart":
 			if u != w.primary {
-				u.paused = false
+				w.resume(u)
 			}
 		case "join":
 			if len(w.upstreams) < 5 {
@@ -99,6 +99,12 @@
 			w.startCoordinator(k)
 		case "cut":
 			x.cut = !x.cut
+		case "cut off":
+			if w.cutSince.IsZero() {
+				w.cutSince = w.now
+			}
+		case "heal":
+			w.heal()
 		case "stale":
 			x.stale = !x.stale
 		case "coordinating":
@@ -117,7 +123,7 @@
 
 // restartGateway replaces a gateway by one that has forgotten what it acknowledged.
 func (w *joinsWorld) restartGateway(g int) {
-	w.gateways[g] = &joinsGateway{started: w.now, term: 0}
+	w.gateways[g] = &joinsGateway{started: w.now, domain: w.gateways[g].domain}
 	for _, x := range w.coordinators {
 		x.unknown[w.gateways[g]] = w.now.Add(w.ms("known after", 0, 2000))
 	}
@@ -126,6 +132,7 @@
 // recover ends all disturbances, and returns the time until commits are acknowledged again.
 func (w *joinsWorld) recover() time.Duration {
 	w.faulty, w.storeDown = false, false
+	w.heal()
 	for _, u := range w.upstreams {
 		u.receives, u.leaving = true, false
 		if u.down {
--- a/core/failover/joins_world_test.go
+++ b/core/failover/joins_world_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,13 @@
 	"burdockseam/core/wal"
 )
 
+const (
+	// entryTimeout is the time after which the entry of an upstream that is cut off expires.
+	entryTimeout = 4 * time.Second
+	// contactWindow is the time after which an instance that is cut off passes no commits any more.
+	contactWindow = 650 * time.Millisecond
+)
+
 // joinsWorld is a group whose upstreams join, leave and come back, with several gateways. Unlike in
 // an orderedWorld, what one side does not learn is still done at the other, possibly later, and each
 // side has its own view of the group.
@@ -24,6 +32,7 @@
 	names        int
 	term         uint64
 	primary      *joinsUpstream // the upstream that leads, also while it is down; nil after a demotion
+	promoted     *joinsUpstream // the upstream that was promoted last
 	commits      []*joinsCommit // by id
 	drawn        uint64
 	highestToken uint64
@@ -36,6 +45,7 @@
 	gap          map[string]int // commits that were lost in the gap that remains, by obstacle
 	carriedOut   joinsOrder     // the last order that took effect
 	failure      string
+	cutSince     time.Time // since when failure domain z is cut off; zero if it is not
 }
 
 // trace logs a step.
@@ -45,12 +55,13 @@
 
 // joinsUpstream is an upstream with its log of commits.
 type joinsUpstream struct {
-	name                  string
+	name, domain          string
 	log                   []int
 	down, leaving, paused bool
 	receives              bool
 	listed                bool
 	listAt, lapseAt       time.Time
+	resumed               time.Time // when it last received again although it had been paused
 }
 
 // joinsCommit is a commit, and the gateway that told a caller of it.
@@ -60,6 +71,7 @@
 	before  wal.Position
 	sent    bool // the answer to the gateway is under way, or was given
 	acked   bool
+	cutOff  []*joinsUpstream // replicas that had it when it was acknowledged behind a cut
 }
 
 // joinsGateway is an instance that passes acknowledgements on.
@@ -68,6 +80,7 @@
 	term    uint64
 	silent  bool // no other instance reaches it
 	started time.Time
+	domain  string
 	held    []joinsAnswer
 	seen    wal.Position // newest end of the log that an answer told
 }
@@ -92,6 +105,9 @@
 	demoted      bool                        // the present change has demoted the leading upstream, and was told so
 	answered     *joinsFreeze                // the newest freeze with an answer
 	unknown      map[*joinsGateway]time.Time // gateways that it does not know yet, until a time
+	seen         map[string]bool             // upstreams that it has found in its list
+	chosenFrom   map[string]bool             // seen at its last choice
+	ordered      joinsOrder                  // its last order
 }
 
 // joinsFreeze is a freeze and the gateways that answered it.
@@ -104,6 +120,7 @@
 // joinsOrder is what was known when an order was sent.
 type joinsOrder struct {
 	upstream string
+	seen     map[string]bool // upstreams that the coordinator had found in its list at the choice
 	token    uint64
 	freeze   *joinsFreeze // the newest with an answer
 	answered []*joinsGateway
@@ -121,9 +138,9 @@
 	for range 3 {
 		w.join(true)
 	}
-	w.primary = w.upstreams[0]
-	for range 3 {
-		w.gateways = append(w.gateways, &joinsGateway{started: epoch.Add(-time.Hour)})
+	w.primary, w.promoted = w.upstreams[0], w.upstreams[0]
+	for _, domain := range []string{"x", "y", "z"} {
+		w.gateways = append(w.gateways, &joinsGateway{started: epoch.Add(-time.Hour), domain: domain})
 	}
 	for range 2 {
 		w.coordinators = append(w.coordinators, &joinsCoordinator{})
@@ -136,7 +153,7 @@
 
 // startCoordinator starts a coordinating instance that knows nothing of before.
 func (w *joinsWorld) startCoordinator(k int) {
-	x := &joinsCoordinator{promotion: NewOrderedPromotion(uint64(k)), coordinating: true, unknown: make(map[*joinsGateway]time.Time)}
+	x := &joinsCoordinator{promotion: NewOrderedPromotion(uint64(k)), coordinating: true, unknown: make(map[*joinsGateway]time.Time), seen: make(map[string]bool)}
 	if w.primary != nil {
 		x.belief, x.term = w.primary.name, w.term
 	}
@@ -147,6 +164,7 @@
 // join adds an upstream that receives.
 func (w *joinsWorld) join(listed bool) *joinsUpstream {
 	u := &joinsUpstream{name: string(rune('a' + w.names)), receives: true, listed: listed}
+	u.domain = rapid.SampledFrom([]string{"x", "z"}).Draw(w.t, "domain")
 	w.names++
 	w.upstreams = append(w.upstreams, u)
 	return u
@@ -167,7 +185,8 @@
 		x.list = nil
 		for _, u := range w.upstreams {
 			if u.listed {
-				x.list = append(x.list, Candidate{Upstream: u.name, Ineligible: u.leaving})
+				x.seen[u.name] = true
+				x.list = append(x.list, Candidate{Upstream: u.name, Ineligible: u.leaving, Domain: u.domain})
 			}
 		}
 	}
@@ -177,6 +196,25 @@
 	x.promotion.SetMembers(w.now, x.belief, x.term, x.list)
 }
 
+// isCut reports whether a failure domain is cut off from the others.
+func (w *joinsWorld) isCut(domain string) bool { return domain == "z" && !w.cutSince.IsZero() }
+
+// connected reports whether two failure domains reach each other.
+func (w *joinsWorld) connected(a, b string) bool { return w.isCut(a) == w.isCut(b) }
+
+// isSilent reports whether no other instance reaches a gateway.
+func (w *joinsWorld) isSilent(g *joinsGateway) bool { return g.silent || w.isCut(g.domain) }
+
+// heal ends a cut. The entries behind it are back a little later.
+func (w *joinsWorld) heal() {
+	w.cutSince = time.Time{}
+	for _, u := range w.upstreams {
+		if u.domain == "z" && !u.listed {
+			u.listAt = w.now.Add(w.ms("listed after", 0, 1500))
+		}
+	}
+}
+
 func (w *joinsWorld) after(d time.Duration, f func()) {
 	w.events = append(w.events, joinsEvent{w.now.Add(d), f})
 }
@@ -276,10 +314,11 @@
 		return
 	}
 	for _, u := range w.upstreams {
+		lapsed := u.down && !w.now.Before(u.lapseAt) || w.isCut(u.domain) && w.now.Sub(w.cutSince) >= entryTimeout
 		switch {
-		case !u.down && !u.listed && !w.now.Before(u.listAt):
+		case !u.down && !w.isCut(u.domain) && !u.listed && !w.now.Before(u.listAt):
 			u.listed = true
-		case u.down && u.listed && !w.now.Before(u.lapseAt):
+		case u.listed && lapsed:
 			u.listed = false
 		}
 	}
@@ -291,6 +330,9 @@
 		return
 	}
 	g := w.gateways[w.steps/2%len(w.gateways)]
+	if !w.connected(g.domain, w.primary.domain) {
+		return
+	}
 	c := &joinsCommit{term: w.term, gateway: g, before: g.seen}
 	if w.exact {
 		c.before = wal.Position{Term: w.term, Offset: uint64(len(w.primary.log))}
@@ -306,7 +348,7 @@
 	}
 	received := 0
 	for _, u := range w.upstreams {
-		if u != w.primary && !u.down && u.receives && !u.paused {
+		if u != w.primary && !u.down && u.receives && !u.paused && w.connected(u.domain, w.primary.domain) {
 			u.log = slices.Clone(w.primary.log)
 			received = len(u.log)
 		}
@@ -343,6 +385,9 @@
 	if !slices.Contains(w.gateways, g) || !w.now.Before(a.until) {
 		return
 	}
+	if w.isCut(g.domain) && w.now.Sub(w.cutSince) >= contactWindow {
+		return // the gateway hears from too few others
+	}
 	g.term = max(g.term, a.bounds.Most.Term)
 	if a.bounds.Most.Compare(g.seen) > 0 {
 		g.seen = a.bounds.Most
@@ -356,6 +401,11 @@
 	case PassageOpen:
 		w.trace("gateway %d acknowledges %d (%+v), term %d, gate %+v", slices.Index(w.gateways, g), a.id, a.bounds, g.term, g.gate)
 		w.commits[a.id].acked = true
+		for _, u := range w.upstreams {
+			if w.isCut(g.domain) && u != w.promoted && slices.Contains(u.log, a.id) {
+				w.commits[a.id].cutOff = append(w.commits[a.id].cutOff, u)
+			}
+		}
 		w.lastAck = w.now
 		w.acks++
 		if w.primary != nil && !slices.Contains(w.primary.log, a.id) {
@@ -367,7 +417,7 @@
 // askForFreezes freezes a new gateway as the others are.
 func (w *joinsWorld) askForFreezes(g *joinsGateway) {
 	for _, o := range w.gateways {
-		if o != g && !o.silent && o.gate.token > 0 && w.now.Sub(o.gate.frozenAt) < FreezeTimeout {
+		if o != g && !o.silent && w.connected(o.domain, g.domain) && o.gate.token > 0 && w.now.Sub(o.gate.frozenAt) < FreezeTimeout {
 			g.gate.Freeze(w.now, o.gate.term, o.gate.token)
 		}
 	}
@@ -375,7 +425,7 @@
 
 // prove shows a coordinator that the primary works, sometimes a little late.
 func (w *joinsWorld) prove(x *joinsCoordinator) {
-	if w.primary == nil || w.primary.down || x.cut {
+	if w.primary == nil || w.primary.down || x.cut || w.isCut(w.primary.domain) {
 		return
 	}
 	primary, term, at := w.primary.name, w.term, w.now
@@ -406,7 +456,7 @@
 
 // perform carries out commands of a coordinator.
 func (w *joinsWorld) perform(k int, x *joinsCoordinator, list []Command) {
-	o := joinsOrder{obstacle: w.findObstacle(x), freeze: x.answered} // when the commands were decided
+	o := joinsOrder{seen: x.chosenFrom, obstacle: w.findObstacle(x), freeze: x.answered} // when the commands were decided
 	for _, c := range list {
 		w.performCommand(k, x, c, o)
 	}
@@ -417,7 +467,7 @@
 	const limit = 400 * time.Millisecond
 	p, sent := x.promotion, w.now
 	u := w.find(c.Upstream)
-	reached := func() bool { return u != nil && !u.down }
+	reached := func() bool { return u != nil && !u.down && !w.isCut(u.domain) }
 	errorOf := func(ok bool) error {
 		if ok {
 			return nil
@@ -457,6 +507,7 @@
 	case ActionHold:
 		p.HandleHold(w.now, 0)
 	case ActionListUpstreams:
+		x.chosenFrom = maps.Clone(x.seen)
 		if w.storeDown || x.stale {
 			w.after(limit, func() { p.HandleList(w.now) })
 			return
@@ -512,9 +563,9 @@
 	sent, p := w.now, x.promotion
 	f := &joinsFreeze{sent: sent, token: c.Token}
 	var answers []FreezeAnswer
-	silent := 0
+	var silent []string
 	for i, g := range w.gateways {
-		if sent.Before(x.unknown[g]) {
+		if sent.Before(x.unknown[g]) && !w.isCut(g.domain) { // behind a cut the one before stays in the list
 			continue
 		}
 		take := func() bool {
@@ -526,7 +577,7 @@
 		fate := 0
 		switch {
 		case i == k:
-		case g.silent:
+		case w.isSilent(g):
 			fate = 3
 		case w.faulty:
 			fate = max(0, rapid.IntRange(0, 15).Draw(w.t, "freeze")-12)
@@ -536,12 +587,12 @@
 			take()
 		case 1: // carried out without an answer
 			g.gate.Freeze(w.now, c.Term, c.Token)
-			silent++
+			silent = append(silent, g.domain)
 		case 2: // carried out late
 			w.after(w.ms("late", 400, 3000), func() { g.gate.Freeze(w.now, c.Term, c.Token) })
-			silent++
+			silent = append(silent, g.domain)
 		case 3:
-			silent++
+			silent = append(silent, g.domain)
 		}
 	}
 	answer := func() {
@@ -550,7 +601,7 @@
 		}
 		p.HandleFreeze(w.now, sent, c, answers, silent)
 	}
-	if silent > 0 {
+	if len(silent) > 0 {
 		w.after(400*time.Millisecond, answer)
 		return
 	}
@@ -565,12 +616,16 @@
 		switch {
 		case i == k:
 			g.gate.Keep(w.now, c.Token, ended, kept)
-		case g.silent || w.now.Before(x.unknown[g]):
+		case w.isSilent(g) || w.now.Before(x.unknown[g]):
 		default:
 			w.call("keep", 0, func() bool { g.gate.Keep(w.now, c.Token, ended, kept); return true }, func(bool) {})
 		}
 	}
+	if c.Token == x.ordered.token {
+		o.obstacle = x.ordered.obstacle // the order is repeated
+	}
 	o.upstream, o.token = c.Upstream, c.Token
+	x.ordered = o
 	if o.freeze != nil && o.freeze.token == c.Token {
 		o.answered = o.freeze.gateways
 	}
@@ -613,6 +668,8 @@
 		return "another change demoted it"
 	case u.down:
 		return "it is down"
+	case w.isCut(u.domain):
+		return "it is cut off"
 	case !slices.ContainsFunc(x.list, func(r Candidate) bool { return r.Upstream == u.name }):
 		return "it is not listed"
 	}
@@ -622,7 +679,7 @@
 // accept answers an order at the platform.
 func (w *joinsWorld) accept(o joinsOrder) OrderResponse {
 	u := w.find(o.upstream)
-	if o.token < w.highestToken || u == nil || u.down {
+	if o.token < w.highestToken || u == nil || u.down || w.isCut(u.domain) {
 		return ResponseRefused
 	}
 	w.highestToken = o.token
@@ -638,7 +695,7 @@
 	if u == nil || u.down || u == w.primary {
 		return
 	}
-	w.primary = u
+	w.primary, w.promoted = u, u
 	w.trace("%s leads term %d from %v", u.name, w.term+1, w.position(u.log))
 	w.term++
 	w.promotions++
@@ -661,26 +718,46 @@
 }
 
 // lose counts a lost commit if it is lost in the gap that remains: its gateway did not answer the
-// freeze of the change, and the old primary could not be demoted. Any other loss is a failure.
+// freeze of the change, and the old primary could not be demoted. Any other loss is a failure, and so
+// is that of a commit behind a cut that a replica there still has, which the coordinator has known.
 func (w *joinsWorld) lose(what string, id int, o joinsOrder) {
 	c := w.commits[id]
 	c.acked = false
 	switch {
-	case o.obstacle != "" && !slices.Contains(o.answered, c.gateway):
+	case o.obstacle != "" && !slices.Contains(o.answered, c.gateway) && !w.isHeldBehindCut(id, o):
 		w.gap[o.obstacle]++
 	case w.failure == "":
 		w.failure = what
-		w.t.Logf("%s: commit %d of term %d, now %v, primary %v", what, id, w.commits[id].term, w.now.Sub(epoch), w.primary.name)
+		w.t.Logf("%s: commit %d of term %d, now %v, primary %v, obstacle %q, answered %t, held behind a cut %t of %v", what, id, c.term, w.now.Sub(epoch), w.primary.name,
+			o.obstacle, slices.Contains(o.answered, c.gateway), w.isHeldBehindCut(id, o), slices.Collect(maps.Keys(o.seen)))
 	}
 }
 
+// resume lets an upstream that starts again receive again.
+func (w *joinsWorld) resume(u *joinsUpstream) {
+	if u.paused {
+		u.paused, u.resumed = false, w.now
+	}
+}
+
+// isHeldBehindCut reports whether a replica that had a commit when it was acknowledged behind a cut still
+// runs, and the coordinator has known it. A replica that starts again after its answer to a pause is
+// left out: the answer counts for pauseValidity.
+func (w *joinsWorld) isHeldBehindCut(id int, o joinsOrder) bool {
+	return slices.ContainsFunc(w.commits[id].cutOff, func(u *joinsUpstream) bool {
+		resumed := !u.resumed.IsZero() && w.now.Sub(u.resumed) < pauseValidity+2*time.Second
+		return o.seen[u.name] && !u.down && !resumed && slices.Contains(w.upstreams, u) && slices.Contains(u.log, id)
+	})
+}
+
 // crash takes an upstream down. It is back later, perhaps under another name.
 func (w *joinsWorld) crash(u *joinsUpstream) {
 	u.down, u.lapseAt = true, w.now.Add(2*time.Second)
 }
 
 func (w *joinsWorld) comeBack(u *joinsUpstream, renamed bool) {
-	u.down, u.paused, u.listAt = false, false, w.now.Add(w.ms("listed after", 0, 1500))
+	w.resume(u)
+	u.down, u.listAt = false, w.now.Add(w.ms("listed after", 0, 1500))
 	if renamed {
 		u.name, u.listed = string(rune('a'+w.names)), false
 		w.names++
--- a/core/failover/order.go
+++ b/core/failover/order.go
@@ -55,6 +55,8 @@
 	// still counts as a holder of commits, but is promoted only if no eligible upstream has
 	// received as much.
 	Ineligible bool
+	// Domain is the upstream's failure domain.
+	Domain string
 	// Distance breaks ties between equal candidates; the nearest is chosen.
 	Distance int
 }
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -24,6 +24,9 @@
 //     crashed. So a failover without the old primary orders nothing for vanishedTimeout, also
 //     if the replica disappeared before the change began. A replica that was leaving does not
 //     come back.
+//   - Entries also disappear behind a cut, where the old primary and a replica go on together with
+//     the instances there. So no target is chosen while one of them may be the only holder of
+//     commits that a silent instance has acknowledged, in a switchover as little as in a failover.
 //   - After a promotion, the new primary may be the only upstream that is left with commits
 //     which were acknowledged before. No replica is paused while none of them has the position
 //     that the promotion kept and the primary is seen to work, and for vanishedTimeout if it is
@@ -119,11 +122,11 @@
 	primary             string
 	term                uint64 // highest term seen
 	candidates          []*candidateState
-	vanished            []vanishedCandidate // upstreams whose entries disappeared a short time ago
-	lastPrimary         string              // last known primary, or ""
-	former              string              // primary before lastPrimary, or ""
-	formerSince         time.Time           // when it was replaced
-	primarySeen         time.Time           // when the old primary was last seen to work as primary
+	vanished            []*vanishedCandidate // upstreams whose entries disappeared a short time ago
+	lastPrimary         string               // last known primary, or ""
+	former              string               // primary before lastPrimary, or ""
+	formerSince         time.Time            // when it was replaced
+	primarySeen         time.Time            // when the old primary was last seen to work as primary
 	phase               Phase
 	since               time.Time // start of the phase
 	nextCommand         time.Time // earliest time of the phase's next command
@@ -218,8 +221,8 @@
 	c.planned, c.reason, c.target, c.orderRefused = planned, reason, "", false
 	c.pausing, c.ordersSent = false, 0
 	c.freeze, c.holder, c.pausesSince = freeze{}, holder{}, time.Time{}
-	for i := range c.vanished {
-		c.vanished[i].before = true
+	for _, v := range c.vanished {
+		v.before = true
 	}
 	c.nextRaise = now
 	c.enterPhase(now, PhaseSurvey)
@@ -472,7 +475,7 @@
 	if now.Before(c.nextCommand) {
 		return nil
 	}
-	opened := !c.recorded && c.freeze.silent > c.freeze.chosenSilent && now.Sub(c.since) >= freezeValidity
+	opened := !c.recorded && len(c.freeze.silentDomains) > c.freeze.chosenSilent && now.Sub(c.since) >= freezeValidity
 	lacks := c.keptPosition.Compare(c.acknowledged.Least) < 0 && c.acknowledged.Least.Term <= c.term
 	if lacks || opened {
 		// An instance that was silent has told of commits that the target lacks, or one does not
@@ -630,7 +633,7 @@
 	} else if r != nil {
 		best = r
 	}
-	c.target, c.keptPosition, c.freeze.chosenSilent = best.Upstream, best.status.Received, c.freeze.silent
+	c.target, c.keptPosition, c.freeze.chosenSilent = best.Upstream, best.status.Received, len(c.freeze.silentDomains)
 	c.evidence = c.newEvidence(now)
 	if c.recorded && c.primary != "" {
 		c.enterPhase(now, PhaseDemote)
--- a/core/failover/ordered_world_test.go
+++ b/core/failover/ordered_world_test.go
@@ -37,6 +37,8 @@
 	unlisted  []string   // replicas that receive commits and are not listed yet
 	silent    bool       // the gateway does not answer a freeze
 
+	silentDomain string // failure domain of the gateway; all upstreams are in "x"
+
 	// unfenced makes the platform carry out orders with any token, and old primaries go on.
 	unfenced      bool
 	target        string          // target in the token object
@@ -86,7 +88,7 @@
 // newOrderedWorld returns a group of upstreams a, b and c, whose primary is a.
 func newOrderedWorld(instances int) *orderedWorld {
 	w := &orderedWorld{
-		now: epoch, names: []string{"a", "b", "c"}, logs: make(map[string][]int), commitTerms: make(map[int]uint64),
+		now: epoch, silentDomain: "x", names: []string{"a", "b", "c"}, logs: make(map[string][]int), commitTerms: make(map[int]uint64),
 		paused: make(map[string]bool), down: make(map[string]bool), primary: "a", term: 1,
 	}
 	for range instances {
@@ -100,7 +102,7 @@
 func (w *orderedWorld) candidates() []Candidate {
 	var list []Candidate
 	for _, name := range w.names {
-		list = append(list, Candidate{Upstream: name})
+		list = append(list, Candidate{Upstream: name, Domain: "x"})
 	}
 	return list
 }
@@ -249,11 +251,11 @@
 		x.promotion.HandleList(w.now)
 	case ActionFreeze:
 		if w.silent {
-			x.promotion.HandleFreeze(w.now, sent, c, nil, 1)
+			x.promotion.HandleFreeze(w.now, sent, c, nil, []string{w.silentDomain})
 			return
 		}
 		if w.gate.Freeze(w.now, c.Term, c.Token); answered {
-			x.promotion.HandleFreeze(w.now, sent, c, []FreezeAnswer{w.gate.Answer(w.now, epoch.Add(-time.Minute), 0)}, 0)
+			x.promotion.HandleFreeze(w.now, sent, c, []FreezeAnswer{w.gate.Answer(w.now, epoch.Add(-time.Minute), 0)}, nil)
 		}
 	case ActionDemote:
 		if w.down[c.Upstream] {
--- a/core/failover/outdated_test.go
+++ b/core/failover/outdated_test.go
@@ -55,7 +55,7 @@
 	setup := func(t *testing.T) (*OrderedPromotion, time.Time) {
 		c := NewOrderedPromotion(1)
 		now := startPauses(t, c)
-		c.HandleFreeze(now, now, freeze, answersOf(at(95)), 0)
+		c.HandleFreeze(now, now, freeze, answersOf(at(95)), nil)
 		c.Tick(now)
 		if c.HandleList(now); c.Phase() != PhaseOrder {
 			t.Fatalf("phase %s, want %s", c.Phase(), PhaseOrder)
@@ -68,12 +68,12 @@
 	})
 	t.Run("a gateway tells of another commit", func(t *testing.T) {
 		c, now := setup(t)
-		c.HandleFreeze(now, now.Add(time.Millisecond), freeze, answersOf(at(120)), 0)
+		c.HandleFreeze(now, now.Add(time.Millisecond), freeze, answersOf(at(120)), nil)
 		expectNoOrder(t, c, now.Add(10*time.Millisecond))
 	})
 	t.Run("a gateway knows a newer term", func(t *testing.T) {
 		c, now := setup(t)
-		c.HandleFreeze(now, now.Add(time.Millisecond), freeze, []FreezeAnswer{{Age: time.Hour, Term: 2}}, 0)
+		c.HandleFreeze(now, now.Add(time.Millisecond), freeze, []FreezeAnswer{{Age: time.Hour, Term: 2}}, nil)
 		expectNoOrder(t, c, now.Add(10*time.Millisecond))
 	})
 }
@@ -84,12 +84,12 @@
 	c := NewOrderedPromotion(1)
 	now := startPauses(t, c)
 	freeze := Command{Action: ActionFreeze, Term: 1, Token: 1}
-	c.HandleFreeze(now, now, freeze, answersOf(at(95)), 0)
+	c.HandleFreeze(now, now, freeze, answersOf(at(95)), nil)
 	c.Tick(now)
 	c.HandleList(now)
 	c.Tick(now)
 	c.HandleOrder(now, Command{Action: ActionOrderPromotion, Upstream: c.Target(), Token: 1}, ResponseUnknown)
-	c.HandleFreeze(now, now.Add(time.Millisecond), freeze, answersOf(wal.Position{Term: 2, Offset: 97}), 0)
+	c.HandleFreeze(now, now.Add(time.Millisecond), freeze, answersOf(wal.Position{Term: 2, Offset: 97}), nil)
 	freezes, orders := 0, 0
 	for range 100 {
 		now = now.Add(20 * time.Millisecond)
@@ -99,7 +99,7 @@
 				if freezes++; cmd.Term != 1 {
 					t.Fatalf("term %d is frozen, want 1", cmd.Term)
 				}
-				c.HandleFreeze(now, now, cmd, answersOf(wal.Position{Term: 2, Offset: 97}), 0)
+				c.HandleFreeze(now, now, cmd, answersOf(wal.Position{Term: 2, Offset: 97}), nil)
 			case ActionOrderPromotion:
 				orders++
 			}
@@ -115,7 +115,7 @@
 func TestHolderStartsAgainWithoutLog(t *testing.T) {
 	c := NewOrderedPromotion(1)
 	now := startPauses(t, c)
-	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), 1)
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), []string{"x"})
 	c.HandleDemote(now, now, "a", ReplicationStatus{Term: 1, Received: at(100), Led: true}, nil, time.Time{})
 	c.HandlePause(now, now.Add(time.Millisecond), "a", ReplicationStatus{Term: 1}, nil)
 	for range 30 {
@@ -130,7 +130,7 @@
 func TestDemotionIsRefusedOnce(t *testing.T) {
 	c := NewOrderedPromotion(1)
 	now := startPauses(t, c)
-	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), 1)
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), []string{"x"})
 	c.HandleDemote(now, now, "a", ReplicationStatus{}, ErrRefused, time.Time{})
 	if c.Tick(now); c.Phase() != PhasePause {
 		t.Errorf("phase %s, want %s", c.Phase(), PhasePause)
@@ -142,7 +142,7 @@
 func TestForgetfulInstancesBeforeDemotion(t *testing.T) {
 	c := NewOrderedPromotion(1)
 	now := startPauses(t, c)
-	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, []FreezeAnswer{{Age: time.Second, Idle: time.Second}}, 0)
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, []FreezeAnswer{{Age: time.Second, Idle: time.Second}}, nil)
 	if c.Tick(now); c.Phase() != PhasePause {
 		t.Errorf("phase %s, want %s", c.Phase(), PhasePause)
 	}
@@ -159,7 +159,7 @@
 	c := NewOrderedPromotion(1)
 	now := startPauses(t, c)
 	c.SetMembers(now, "a", 1, []Candidate{{Upstream: "b"}, {Upstream: "c"}})
-	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), 1)
+	c.HandleFreeze(now, now, Command{Action: ActionFreeze, Term: 1, Token: 1}, answersOf(at(95)), []string{"x"})
 	c.HandleDemote(now, now, "a", ReplicationStatus{}, errNoAnswer, time.Time{})
 	if c.Tick(now); c.Phase() != PhaseList {
 		t.Errorf("phase %s, want %s", c.Phase(), PhaseList)
--- a/core/failover/recorded.go
+++ b/core/failover/recorded.go
@@ -154,7 +154,7 @@
 		// It leads a later term, for which the replicas are not paused.
 		c.enterPhase(now, PhasePause)
 		return
-	case now.Before(silentUntil):
+	case now.Before(silentUntil), len(c.awaited(now)) > 0:
 		return
 	default:
 		c.undemoted = upstream
--- a/core/failover/steps_test.go
+++ b/core/failover/steps_test.go
@@ -349,6 +349,46 @@
 	}
 }
 
+// TestSwitchoverBehindCut guards against a switchover, or a failover after it, that leaves out writes
+// which the primary and one replica acknowledge behind a cut while the primary is leaving.
+func TestSwitchoverBehindCut(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		removed bool // the replica behind the cut is removed from the configuration meanwhile
+	}{{"", false}, {"removed replica", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newRunningSim(t, 3)
+			members := s.members()
+			members[0].Eligible, members[1].Eligible = false, false
+			for _, n := range s.nodes {
+				n.coordinator.SetMembers(members)
+			}
+			cut := func(cut bool) {
+				for _, inside := range []string{"a", "b", "na", "nb"} {
+					for _, outside := range []string{"c", "nc", "store"} {
+						s.cutLinks[[2]string{inside, outside}], s.cutLinks[[2]string{outside, inside}] = cut, cut
+					}
+				}
+			}
+			cut(true)
+			before := len(s.ackTimes)
+			if test.removed {
+				s.nodes[2].coordinator.SetMembers([]Member{members[0], members[2]})
+			}
+			s.run(12*time.Second, nil)
+			if g := s.storedGroup(); g.Term != 1 || len(s.ackTimes) == before {
+				t.Errorf("group %+v, %d writes acknowledged behind the cut, want term 1 and some", g, len(s.ackTimes)-before)
+			}
+			cut(false)
+			s.run(12*time.Second, nil)
+			if g := s.storedGroup(); g.Primary != "c" {
+				t.Errorf("group %+v after the cut, want primary c", g)
+			}
+			s.failOnFaults(t)
+		})
+	}
+}
+
 // TestWithPrimary guards against a start that joins the tails of two terms: entries 11 and 12
 // of term 1 at c are not in the history, since term 2 began at 10.
 func TestWithPrimary(t *testing.T) {
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +22,8 @@
 	suspendedAfter = time.Second
 	// handOverTimeout bounds the last calls of an instance that ends. It is below exitReserve.
 	handOverTimeout = 300 * time.Millisecond
-	// lackingLogInterval is the time between two log lines of a change that waits for commits.
-	lackingLogInterval = 5 * time.Second
+	// waitLogInterval is the time between two log lines of a change that waits.
+	waitLogInterval = 5 * time.Second
 	// newInstanceAge is the age up to which other instances may not know an instance.
 	newInstanceAge = 3 * time.Second
 )
@@ -67,29 +68,30 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	type answer struct {
-		reply *FreezeReply // nil without one
-		late  bool         // the instance was not expected to answer
+		address string
+		reply   *FreezeReply // nil without one
+		late    bool         // the instance was not expected to answer
 	}
 	s := ps.n.snapshot.Load()
 	instances := slices.Concat(s.instances, s.leaving) // an instance that leaves finishes its work
 	results := make(chan answer, len(instances))
-	expected, silent := 0, 0
+	expected, silent := 0, make(map[string]string) // failure domains by address
 	for _, i := range instances {
 		if i.Address == ps.n.self.Address {
 			continue
 		}
 		late := ps.n.isSuspect(i.Address)
-		silent++
+		silent[i.Address] = i.Domain
 		if !late {
 			expected++
 		}
 		go func() {
 			var reply FreezeReply
 			if err := ps.n.peers.Call(ctx, i.Address, "Node.Freeze", r, &reply); err != nil {
-				results <- answer{nil, late}
+				results <- answer{i.Address, nil, late}
 				return
 			}
-			results <- answer{&reply, late}
+			results <- answer{i.Address, &reply, late}
 		}()
 	}
 	for expected > 0 {
@@ -98,7 +100,7 @@
 			expected--
 		}
 		if a.reply != nil {
-			silent--
+			delete(silent, a.address)
 			answers = append(answers, a.reply.Answer)
 		}
 	}
@@ -106,8 +108,10 @@
 	for _, a := range answers {
 		acknowledged = acknowledged.Join(a.Acknowledged)
 	}
-	ps.n.log.Info("group: gateways frozen", "group", g.name, "term", c.Term, "token", c.Token, "instances", len(instances), "silent", silent, "least", acknowledged.Least.String(), "most", acknowledged.Most.String(), "took", ps.n.now().Sub(sent))
-	ps.handleResult(func(now time.Time) { g.promotion.HandleFreeze(now, sent, c, answers, silent) })
+	ps.n.log.Info("group: gateways frozen", "group", g.name, "term", c.Term, "token", c.Token, "instances", len(instances), "silent", len(silent), "least", acknowledged.Least.String(), "most", acknowledged.Most.String(), "took", ps.n.now().Sub(sent))
+	ps.handleResult(func(now time.Time) {
+		g.promotion.HandleFreeze(now, sent, c, answers, slices.Collect(maps.Values(silent)))
+	})
 }
 
 // isSuspect reports whether an instance has not answered for a while.
--- a/io/node/freeze_test.go
+++ b/io/node/freeze_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,42 @@
 		t.Errorf("frozen by token %d, want 5", token)
 	}
 }
+
+// TestSilentInstanceBehindCut guards against a change of primary that does not know where the silent
+// instances are, and goes on without an upstream that is cut off together with them.
+func TestSilentInstanceBehindCut(t *testing.T) {
+	for _, test := range []struct {
+		domain string
+		waits  bool
+	}{{"d1", true}, {"d2", false}} {
+		t.Run("upstream in "+test.domain, func(t *testing.T) {
+			n, _ := newFencedNode(t, 1) // three others, in d1, do not answer
+			n.primaries.mu.Lock()
+			g := n.primaries.group("g0")
+			n.primaries.mu.Unlock()
+			now := n.now()
+			list := []failover.Candidate{{Upstream: "u1", Domain: "d1"}, {Upstream: "u2", Ineligible: true, Domain: test.domain}, {Upstream: "u3", Domain: "d3"}}
+			g.promotion.SetMembers(now, "u1", 1, list)
+			g.promotion.HandleToken(now, 5, 0)
+			if !g.promotion.Start(now, true, "test") {
+				t.Fatal("the change does not begin")
+			}
+			g.promotion.SetMembers(now, "u1", 1, slices.Delete(list, 1, 2))
+			for range 6 {
+				for _, c := range g.promotion.Tick(now) {
+					switch c.Action {
+					case failover.ActionSurvey:
+						g.promotion.HandleSurvey(now, now, c.Upstream, false, wal.Position{Term: 1, Offset: 1}, nil)
+					case failover.ActionHold:
+						g.promotion.HandleHold(now, 0)
+					case failover.ActionFreeze:
+						n.primaries.freezeGateways(t.Context(), g, c)
+					}
+				}
+			}
+			if got := g.promotion.Awaited(n.now()); (got != "") != test.waits {
+				t.Errorf("waits for %q, want a wait: %t", got, test.waits)
+			}
+		})
+	}
+}
--- a/io/node/primaries.go
+++ b/io/node/primaries.go
@@ -105,7 +105,7 @@
 	lastNonce        uint64    // nonce of the last draw of a fencing token
 	begunAt          time.Time // start of the promotion under way
 	lastPhase        failover.Phase
-	lackingLoggedAt  time.Time // when it was last logged that no upstream has all acknowledged commits
+	waitLoggedAt     time.Time // when it was last logged what the promotion under way waits for
 }
 
 // primaries holds the views of all groups, and coordinates promotions in some of them.
@@ -351,14 +351,16 @@
 	list := make([]failover.Candidate, 0, len(s.groups[g.name]))
 	home := ps.n.settings().Place(ps.n.self.Domain)
 	for _, u := range s.groups[g.name] {
-		list = append(list, failover.Candidate{Upstream: u.Name, Ineligible: !u.eligible, Distance: home.Distance(u.place)})
+		list = append(list, failover.Candidate{
+			Upstream: u.Name, Ineligible: !u.eligible, Domain: u.Domain, Distance: home.Distance(u.place),
+		})
 	}
 	term := uint64(0)
 	if last, _, ok := g.floors.Last(); ok {
 		term = last.Term
 	}
 	for _, d := range g.promotion.SetMembers(ps.n.now(), g.primary, term, list) {
-		ps.n.log.Info("group: entry of an upstream disappeared", "group", g.name, "upstream", d.Upstream, "leaving", d.Leaving, "primary", g.primary, "phase", g.promotion.Phase(), "remembered", d.Remembered)
+		ps.n.log.Info("group: entry of an upstream disappeared", "group", g.name, "upstream", d.Upstream, "eligible", d.Eligible, "domain", d.Domain, "primary", g.primary, "phase", g.promotion.Phase(), "remembered", d.Remembered)
 	}
 }
 
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -98,12 +98,30 @@
 			ps.recordChoice(g)
 		}
 	}
-	if least, highest, waits := g.promotion.Lacking(now); waits && now.Sub(g.lackingLoggedAt) >= lackingLogInterval {
-		g.lackingLoggedAt = now
+	ps.logWait(g, now)
+	return g.promotion.Phase() != failover.PhaseIdle
+}
+
+// logWait logs what a change of primary waits for, at most every waitLogInterval. The caller holds the
+// lock.
+func (ps *primaries) logWait(g *group, now time.Time) {
+	if now.Sub(g.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	least, highest, lacking := g.promotion.Lacking(now)
+	awaited := g.promotion.Awaited(now)
+	if !lacking && awaited == "" {
+		return
+	}
+	g.waitLoggedAt = now
+	if lacking {
 		ps.n.metrics.increment("burdockseam_promotions_total{step=\"waiting\"}")
-		ps.n.log.Info("group: change of primary waits for acknowledged commits", "group", name, "acknowledged", least.String(), "highest", highest.String(), "took", now.Sub(g.begunAt))
+		ps.n.log.Info("group: change of primary waits for acknowledged commits", "group", g.name, "acknowledged", least.String(), "highest", highest.String(), "took", now.Sub(g.begunAt))
+	}
+	if awaited != "" {
+		ps.n.metrics.increment("burdockseam_promotions_total{step=\"awaiting\"}")
+		ps.n.log.Info("group: change of primary waits for upstreams without an entry", "group", g.name, "upstreams", awaited, "took", now.Sub(g.begunAt))
 	}
-	return g.promotion.Phase() != failover.PhaseIdle
 }
 
 // recordChoice logs the choice of a target and counts one that a commit may be missing from. The
