node: A new instance that has lost contact passes no commits

What callers would see: a commit that a new instance acknowledged behind a cut is gone.

Cause: an instance of less than 3 s asked the fleet for contact, and passed the commit on whatever the answer, since in a fleet that starts most others may not answer yet.

Evidence: the random test of promotions with cuts, once in 344,680 checks.

Change: only an instance that has had no contact at all since its start goes on without it.

Failed before: TestCommitAcknowledgedDuringChange, "a new instance that has lost contact" (code "", want "indoubt").

--- a/core/failover/joins_world_test.go
+++ b/core/failover/joins_world_test.go
@@ -385,14 +385,15 @@
 	if !slices.Contains(w.gateways, g) || !w.now.Before(a.until) {
 		return
 	}
-	if w.isCut(g.domain) && w.now.Sub(w.cutSince) >= contactWindow {
+	isNew := w.now.Sub(g.started) < 3*time.Second
+	if w.isCut(g.domain) && (isNew || w.now.Sub(w.cutSince) >= contactWindow) {
 		return // the gateway hears from too few others
 	}
 	g.term = max(g.term, a.bounds.Most.Term)
 	if a.bounds.Most.Compare(g.seen) > 0 {
 		g.seen = a.bounds.Most
 	}
-	if w.now.Sub(g.started) < 3*time.Second {
+	if isNew {
 		w.askForFreezes(g)
 	}
 	switch g.gate.Pass(w.now, g.term, a.bounds) {
--- a/io/node/freeze.go
+++ b/io/node/freeze.go
@@ -137,7 +137,7 @@
 	defer cancel()
 	switch absent := n.primaries.mayHaveMissedFreeze(reply.Sample.Age); {
 	case len(n.snapshot.Load().instances) == 1:
-	case absent == isNew:
+	case absent == isNew && n.contactAt.Load() == nil:
 		n.askForContact(ctx, n.now()) // in a fleet that starts, most others may not answer yet
 	case absent == notAbsent && n.hearsMost():
 	case !n.askForContact(ctx, n.now()):
--- a/io/node/freeze_test.go
+++ b/io/node/freeze_test.go
@@ -56,6 +56,25 @@
 			}
 		})
 	}
+	for _, test := range []struct {
+		name       string
+		hadContact bool
+		want       call.Code
+	}{
+		{"a new instance that has lost contact", true, call.InDoubt},
+		{"an instance of a fleet that starts", false, call.OK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n, _ := newFencedNode(t, 0)
+			n.primaries.startedAt = n.now()
+			if !test.hadContact {
+				n.contactAt.Store(nil)
+			}
+			if got := n.passCommit(t.Context(), commit, acknowledged(time.Millisecond)); got.Code != test.want {
+				t.Errorf("code %q, want %q", got.Code, test.want)
+			}
+		})
+	}
 	t.Run("an instance that was suspended asks the others", func(t *testing.T) {
 		n, others := newFencedNode(t, 4)
 		for _, o := range others {
