node: Logs of statements with their team and version

The logs did not tell for which team a statement of an open transaction is sent, and which version of the configuration its instance has.

--- a/io/node/route.go
+++ b/io/node/route.go
@@ -241,8 +241,8 @@
 	if r.Code == call.OK && op.Kind != "" && op.Upstream == "" && s.Kind != call.Commit {
 		op.Upstream, op.Gateway = c.upstream.Name, c.gateway.Address
 	}
-	n.log.V(1).Info("route: statement", "id", s.ID, "kind", s.Kind, "op", op.Name, "route", op.Grant.Route.Name,
-		"upstream", c.upstream.Name, "gateway", c.gateway.Address, "reason", c.reason, "after", c.after.String(),
+	n.log.V(1).Info("route: statement", "id", s.ID, "kind", s.Kind, "op", op.Name, "team", op.Grant.Team.Name, "route", op.Grant.Route.Name,
+		"version", n.snapshot.Load().policy.Version, "upstream", c.upstream.Name, "gateway", c.gateway.Address, "reason", c.reason, "after", c.after.String(),
 		"code", r.Code, "ran", r.Ran, "took", n.now().Sub(began))
 	return r
 }
