caller: A transaction ends when its team has lost the caller's key

Cause: the check of a statement in an open transaction asked whether the caller's key is valid, and not whether it still belongs to the team that began the transaction. It also missed a withdrawn or moved key if the route was removed in the same version, or was open.

Evidence: with team and version in the log of statements, 14 COMMITs and 112 WRITEs were sent for tenant0 by instances that had version 2, which gives the key to tenant1.

Change: access.Policy.Reauthorize compares the grant of the transaction with the present team of the key. The answer is Aborted, after which the caller may begin again as the new team, or Denied if the key gives no access any more.

--- a/core/access/access.go
+++ b/core/access/access.go
@@ -121,3 +121,21 @@
 	}
 	return Grant{Route: r, Team: p.Teams[team]}, call.OK
 }
+
+// Reauthorize returns the code that a statement of an open transaction is refused with, given what was
+// granted when the transaction began, or OK. The transaction runs under the name of that team, so it
+// ends once the team has lost the caller's key: with Aborted if the caller may begin again, and with
+// Denied if not. A change of the route alone applies from the next transaction onward.
+func (p Policy) Reauthorize(g Grant, database string, c Credential) call.Code {
+	team, known := p.keys[c]
+	route, routed := p.Routes[database]
+	switch anonymous := g.Team.Name == ""; {
+	case !anonymous && known && team == g.Team.Name:
+		return call.OK
+	case !anonymous && (known || route.Open):
+		return call.Aborted
+	case !anonymous, routed && !route.Open && !known:
+		return call.Denied
+	}
+	return call.OK
+}
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -56,6 +56,10 @@
 
 func (r *blockingRouter) CheckAccess(string, access.Credential) call.Code { return call.OK }
 
+func (r *blockingRouter) CheckTransaction(string, *Operation, string, access.Credential) call.Code {
+	return call.OK
+}
+
 func (r *blockingRouter) Run(_ context.Context, _ *Operation, s call.Statement) call.Reply {
 	if s.Kind == r.blocked {
 		close(r.running)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -38,8 +38,11 @@
 	// If the operation may not start, the reply says why.
 	Admit(ctx context.Context, id, database string, c access.Credential) (access.Grant, call.Reply)
 	// CheckAccess checks whether the credential gives access to the database. It is
-	// called at the start of a session and for each statement of an open transaction.
+	// called at the start of a session.
 	CheckAccess(database string, c access.Credential) call.Code
+	// CheckTransaction checks whether the credential still gives access under the grant of an open
+	// transaction. It is called for each of its statements. id is the statement's id.
+	CheckTransaction(id string, op *Operation, database string, c access.Credential) call.Code
 	// Run runs a statement of the operation, and sets Upstream and Gateway of the
 	// operation when its transaction has been opened.
 	Run(ctx context.Context, op *Operation, s call.Statement) call.Reply
@@ -223,8 +226,8 @@
 
 // runInTransaction runs a statement of the open transaction.
 func (s *Session) runInTransaction(ctx context.Context, st call.Statement) call.Answer {
-	if code := s.router.CheckAccess(s.database, s.credential); code == call.Denied {
-		return s.failTransaction(refusalAnswer(code, "the key was withdrawn"))
+	if refusal := s.checkTransaction(st.ID); refusal.Code != call.OK {
+		return s.failTransaction(refusal)
 	}
 	s.op.Values = s.values
 	r := s.router.Run(ctx, s.op, st)
@@ -237,6 +240,21 @@
 	return callerAnswer(r)
 }
 
+// checkTransaction returns the refusal of a statement of the open transaction, whose connection belongs
+// to the team that held the key when it began, or OK.
+func (s *Session) checkTransaction(id string) call.Answer {
+	code := s.router.CheckTransaction(id, s.op, s.database, s.credential)
+	text := ""
+	switch code {
+	case call.OK:
+	case call.Denied:
+		text = "the key was withdrawn"
+	default:
+		text = "the key no longer belongs to the team that began the transaction"
+	}
+	return refusalAnswer(code, text)
+}
+
 // commit commits the transaction. A failed transaction is rolled back instead.
 func (s *Session) commit(ctx context.Context, st call.Statement) call.Answer {
 	switch s.state {
@@ -246,9 +264,9 @@
 		s.rollback()
 		return refusalAnswer(call.Aborted, "the transaction has failed")
 	}
-	if code := s.router.CheckAccess(s.database, s.credential); code == call.Denied {
+	if refusal := s.checkTransaction(st.ID); refusal.Code != call.OK {
 		s.rollback()
-		return refusalAnswer(code, "the key was withdrawn")
+		return refusal
 	}
 	s.op.Values = s.values
 	op := s.op
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockseam/core/access"
+	"burdockseam/core/call"
 	"burdockseam/core/failover"
 	"burdockseam/core/placement"
 	"burdockseam/core/shutdown"
@@ -361,6 +362,17 @@
 	return code
 }
 
+// CheckTransaction implements caller.Router.
+func (n *Node) CheckTransaction(id string, op *caller.Operation, database string, c access.Credential) call.Code {
+	policy := n.snapshot.Load().policy
+	code := policy.Reauthorize(op.Grant, database, c)
+	if code != call.OK {
+		n.log.Info("request: transaction refused", "id", id, "op", op.Name, "team", op.Grant.Team.Name, "database", database, "code", code, "version", policy.Version)
+		n.metrics.increment("burdockseam_refused_total{reason=\"" + string(code) + "\"}")
+	}
+	return code
+}
+
 // Reload reads the settings file again and applies the limits and the regions. The name, the
 // failure domain, the addresses, the seeds, the bound on callers and the usage reports keep
 // their values from the start of the process. If the file has errors, the settings stay as they are.
