instance: A session is authorized by the present route

What callers saw (PostgreSQL face): after an open route was closed, sessions without a key went on there, and committed their transactions; after a route was opened, sessions whose key was withdrawn or moved went on under the name of its team.

The check of a session used the route as it was at the login, and the present route's openness in place of the key.

Evidence: TestAccessLostDuringTransaction, "route closed": the COMMIT succeeded on a closed route.

Change: Reauthorize lets only sessions without a key use open routes without one, and is asked for every session.

Failed before: TestAccessLostDuringTransaction, "route closed"; config.TestReauthorize in 2 of 9 subtests.

--- a/core/config/authorize.go
+++ b/core/config/authorize.go
@@ -51,19 +51,20 @@
 
 // Reauthorize repeats the check of Authorize for a session whose key was verified at
 // login. It does not need the key's secret, and therefore cannot detect a key that
-// was issued anew under the same id; RevokedKeys lists those.
+// was issued anew under the same id; RevokedKeys lists those. A session without a verified key,
+// whose id is empty, may use open routes only.
 func (c Config) Reauthorize(team, id, route string) (Route, error) {
 	r, ok := c.Routes[route]
 	switch k, known := c.Keys[id]; {
 	case !ok:
 		return Route{}, UnknownRoute
-	case r.Open:
+	case r.Open && id == "":
 		return r, nil
 	case !known || k.Team != team:
 		return Route{}, NoSuchKey
 	case k.State == StateWithdrawn:
 		return Route{}, KeyWithdrawn
-	case !slices.Contains(r.Teams, team):
+	case !r.Open && !slices.Contains(r.Teams, team):
 		return Route{}, RouteClosed
 	}
 	return r, nil
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -210,6 +210,37 @@
 	}
 }
 
+// TestReauthorize guards against a session that goes on under the name of a team which has lost the
+// session's key, because the route has been opened to everybody meanwhile.
+func TestReauthorize(t *testing.T) {
+	c := Config{
+		Routes: map[string]Route{"closed": {Teams: []string{"saree"}}, "open": {Open: true}},
+		Keys: map[string]Key{
+			"kept": {Team: "saree"}, "moved": {Team: "odd"}, "withdrawn": {Team: "saree", State: StateWithdrawn},
+		},
+	}
+	for _, test := range []struct {
+		team, key, route string
+		want             error
+	}{
+		{"saree", "kept", "closed", nil},
+		{"saree", "kept", "open", nil},
+		{"", "", "open", nil},
+		{"", "", "closed", NoSuchKey},
+		{"saree", "moved", "closed", NoSuchKey},
+		{"saree", "moved", "open", NoSuchKey},
+		{"saree", "withdrawn", "closed", KeyWithdrawn},
+		{"saree", "withdrawn", "open", KeyWithdrawn},
+		{"odd", "moved", "closed", RouteClosed},
+	} {
+		t.Run(test.key+" key on route "+test.route, func(t *testing.T) {
+			if _, err := c.Reauthorize(test.team, test.key, test.route); err != test.want {
+				t.Errorf("Reauthorize returns %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
 // TestSetDomainState guards against taking out the last failure domain by mistake, and
 // against setting a state that another file overrides.
 func TestSetDomainState(t *testing.T) {
--- a/io/fleet/key_test.go
+++ b/io/fleet/key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/url"
 	"strings"
 	"sync"
@@ -145,3 +146,52 @@
 		}
 	}
 }
+
+// TestAccessLostDuringTransaction guards against a transaction that goes on although its caller's key
+// belongs to another team now, or the route that was open to everybody is closed.
+func TestAccessLostDuringTransaction(t *testing.T) {
+	f := startFleet(t, Ensayo, Options{})
+	ctx := context.Background()
+	edit := func(t *testing.T, op, old, replacement string) {
+		t.Helper()
+		r, err := f.ConfigClient().Edit(ctx, config.ChangeInfo{Op: op, Time: time.Now()}, func(files []config.File) ([]config.File, error) {
+			for k := range files {
+				files[k].Data = []byte(strings.ReplaceAll(string(files[k].Data), old, replacement))
+			}
+			return files, nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		waitRevision(t, f, r.Revision)
+	}
+	expectNoCommit := func(t *testing.T, group string, change func()) {
+		t.Helper()
+		c := connect(t, f, f.Members()[1], "equipment", group, "")
+		for _, statement := range []string{"BEGIN", "INSERT INTO bookings (room, band) VALUES ('x', 'late')"} {
+			if _, err := c.Exec(ctx, statement); err != nil {
+				t.Fatal(err)
+			}
+		}
+		change()
+		if _, err := c.Exec(ctx, "COMMIT"); err == nil {
+			t.Error("a transaction was committed without access")
+		}
+	}
+	t.Run("route closed", func(t *testing.T) {
+		group := f.Deployment.Groups[1]
+		closed := "[route " + group + "]\n"
+		edit(t, "open", closed, closed+"open = true\n")
+		expectNoCommit(t, group, func() { edit(t, "close", closed+"open = true\n", closed) })
+	})
+	t.Run("key moved", func(t *testing.T) {
+		other, err := key.Issue(rand.Reader) // a team needs a key
+		if err != nil {
+			t.Fatal(err)
+		}
+		section := "[key " + key.ID(f.Keys["equipment"]) + "]\nteam = "
+		expectNoCommit(t, f.Deployment.Groups[0], func() {
+			edit(t, "move", section+"equipment\n", "[key "+other.ID+"]\nteam = equipment\nhash = "+other.Hash+"\n\n"+section+"mty-students\n")
+		})
+	})
+}
--- a/io/instance/operate.go
+++ b/io/instance/operate.go
@@ -158,7 +158,7 @@
 	revokedKeys := config.RevokedKeys(*before, cfg)
 	in.server.EndSessions(func(ps postgres.Session) bool {
 		s, ok := ps.(*session)
-		if !ok || s.route.Open {
+		if !ok {
 			return false
 		}
 		_, err := cfg.Reauthorize(s.team, s.key, s.route.Name)
--- a/io/instance/session.go
+++ b/io/instance/session.go
@@ -83,12 +83,13 @@
 // checkAccess checks that the session's key still opens its route and that the
 // configuration is known to be fresh.
 func (s *session) checkAccess() error {
-	if s.route.Open {
-		return nil
-	}
+	// The route may have been open when the session began.
 	if _, err := s.in.config.Load().Reauthorize(s.team, s.key, s.route.Name); err != nil {
 		return postgres.NewRefusal(postgres.NotRun, "%s", err.Error())
 	}
+	if s.key == "" {
+		return nil // the route is open, and there is no key to withdraw
+	}
 	c := s.in.control
 	c.mu.Lock()
 	v := c.node.FreshnessVerdict(c.now())
