--- a/core/access/access.go
+++ b/core/access/access.go
@@ -129,13 +129,16 @@
 func (p Policy) Reauthorize(g Grant, database string, c Credential) call.Code {
 	team, known := p.keys[c]
 	route, routed := p.Routes[database]
-	switch anonymous := g.Team.Name == ""; {
-	case !anonymous && known && team == g.Team.Name:
+	switch {
+	case g.Team.Name == "": // the caller needed no key on an open route
+		if routed && !route.Open && !known {
+			return call.Denied
+		}
+		return call.OK
+	case known && team == g.Team.Name:
 		return call.OK
-	case !anonymous && (known || route.Open):
+	case known || route.Open:
 		return call.Aborted
-	case !anonymous, routed && !route.Open && !known:
-		return call.Denied
 	}
-	return call.OK
+	return call.Denied
 }
--- a/core/failover/ordered.go
+++ b/core/failover/ordered.go
@@ -185,9 +185,6 @@
 // before the first choice.
 func (c *OrderedPromotion) Target() string { return c.target }
 
-// Evidence returns what was known when the target was chosen.
-func (c *OrderedPromotion) Evidence() Evidence { return c.evidence }
-
 // KeptPosition returns the position up to which the target's promotion keeps the commits of
 // the old primary. Later commits were not acknowledged when the replicas were paused, but a
 // replica that has started since is not paused and may acknowledge such commits.
--- a/core/failover/vanished.go
+++ b/core/failover/vanished.go
@@ -128,14 +128,14 @@
 // Awaited returns the upstreams without an entry that the present change waits for, with the time since
 // their entries disappeared; "" if it does not wait.
 func (c *OrderedPromotion) Awaited(now time.Time) string {
-	if c.phase != PhasePause && c.phase != PhaseDemote {
+	if c.phase != PhasePause && c.phase != PhaseDemote || !c.isFrozen(now) {
 		return ""
 	}
-	return describe(now, c.awaited(now))
+	return describeVanished(now, c.awaited(now))
 }
 
-// describe lists upstreams without an entry, with the time since their entries disappeared.
-func describe(now time.Time, list []*vanishedCandidate) string {
+// describeVanished lists upstreams without an entry, with the time since their entries disappeared.
+func describeVanished(now time.Time, list []*vanishedCandidate) string {
 	var texts []string
 	for _, v := range list {
 		texts = append(texts, fmt.Sprintf("%s %dms", v.Upstream, now.Sub(v.at).Milliseconds()))
