--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,7 +32,7 @@
 	notRun
 )
 
-var cases = map[string]func(*world) (verdict, error){"pages": pages}
+var cases = map[string]func(*world) (verdict, error){"pages": pages, "sessions": sessions}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
