--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -59,7 +59,7 @@
 // ports, so that no other socket takes them between two runs of a process.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for port := 21000 + os.Getpid()%7*1000; len(out) < n && port < 32000; port++ {
+	for port := 12000 + os.Getpid()%6*1000; len(out) < n && port < 19000; port++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,10 +32,16 @@
 	notRun
 )
 
-var cases = map[string]func(*world) (verdict, error){"pages": pages, "sessions": sessions}
+// scenario is what a case plays.
+type scenario struct {
+	services int
+	play     func(*world) (verdict, error)
+}
+
+var cases = map[string]scenario{"ghost": {1, ghost}, "pages": {3, pages}, "sessions": {3, sessions}}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER, in the root of the repository")
 		os.Exit(int(notRun))
 	}
@@ -100,13 +106,13 @@
 )
 
 // play starts the stand-ins and the instances, waits until all are ready, and runs the case.
-func (w *world) play(f func(*world) (verdict, error), temp string) (verdict, error) {
+func (w *world) play(c scenario, temp string) (verdict, error) {
 	var err error
 	if w.store, err = newStore(w.rec); err != nil {
 		return notRun, err
 	}
 	var routes, services []map[string]any
-	for k := range 3 {
+	for k := range c.services {
 		name := fmt.Sprintf("salas%d", k)
 		services = append(services, map[string]any{"name": name, "health-path": "/health", "max-conns": maxConns, "sync-replicas": 1})
 		for _, kind := range []string{"primary", "bounded", "read_your_writes"} {
@@ -146,14 +152,14 @@
 			return notRun, fmt.Errorf("%s is not ready", in.name)
 		}
 	}
-	return f(w)
+	return c.play(w)
 }
 
 // startClients starts a client of each database at each instance.
 func (w *world) startClients() {
 	for _, in := range w.instances {
 		for _, g := range w.groups {
-			for _, kind := range []string{"bounded", "read_your_writes"} {
+			for _, kind := range []string{"primary", "bounded", "read_your_writes"} {
 				c := &client{
 					rec: w.rec, name: in.name + "." + kind + "." + g.name, in: in, database: kind + "-" + g.name, key: key,
 					writes: kind != "bounded", pause: 150 * time.Millisecond,
