Log how long a watch of the store took, and changes of an instance's part in watching

Log lines 'store: watch ended' (debug) and 'store: role changed', and the gauge burdockseam_store_watch_seconds{kind}. No decision is changed.

--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -72,6 +72,9 @@
 	}
 	m.set.NewGauge("burdockseam_limit_sum", n.delegates.sum)
 	m.set.NewGauge("burdockseam_store_silent_seconds", func() float64 { return n.tables.silentFor().Seconds() })
+	for _, k := range mirroredKinds {
+		m.set.NewGauge(fmt.Sprintf("burdockseam_store_watch_seconds{kind=%q}", k), func() float64 { return n.tables.watchedFor(k).Seconds() })
+	}
 }
 
 // recordStatement counts a statement by the consistency of its route and its outcome.
--- a/io/node/pings.go
+++ b/io/node/pings.go
@@ -55,8 +55,10 @@
 // runPings pings other instances in rounds, and gets tables from them while the store does
 // not answer.
 func (n *Node) runPings(ctx context.Context) {
+	role := roleNone
 	for ctx.Err() == nil {
 		sleep(ctx, pingInterval*9/10+rand.N(pingInterval/5))
+		role = n.logWatchRole(role)
 		for _, address := range n.pingTargets() {
 			go n.ping(ctx, address)
 		}
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -97,6 +97,7 @@
 	lost            map[Kind]lostObjects
 	unansweredSince map[Kind]time.Time // since when the store has not answered, by kind
 	lastAnswer      time.Time          // time of the store's newest answer
+	watchedSince    map[Kind]time.Time // when the watch under way began, by kind
 }
 
 // refresh describes how the next change of a table is found. After a pause, the table is
@@ -116,6 +117,7 @@
 	return &tables{
 		store: s, log: log, now: now, contents: newContents(), byKind: make(map[Kind]Table), mayListStale: func(Kind) bool { return false },
 		removed: make(map[Kind]removals), lost: make(map[Kind]lostObjects), vanished: make(map[string]vanished), unansweredSince: make(map[Kind]time.Time),
+		watchedSince: make(map[Kind]time.Time),
 	}
 }
 
@@ -346,9 +348,7 @@
 		}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.wait+callTimeout/2)
-	defer cancel()
-	events, stamp, err := t.store.Watch(ctx, k, before.Revision, r.wait)
+	events, stamp, err := t.watch(ctx, k, before.Revision, r.wait)
 	if err == nil && stamp.Era != before.Era {
 		err = ErrHistoryLost // the events follow on a revision of another era
 	}
@@ -372,6 +372,35 @@
 	return nil
 }
 
+// watch waits for changes of a kind after a revision.
+func (t *tables) watch(ctx context.Context, k Kind, since uint64, wait time.Duration) ([]Event, Stamp, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout/2)
+	defer cancel()
+	began := t.now()
+	t.setWatchedSince(k, began)
+	defer t.setWatchedSince(k, time.Time{})
+	events, stamp, err := t.store.Watch(ctx, k, since, wait)
+	t.log.V(1).Info("store: watch ended", "kind", k, "since", since, "wait", wait, "took", t.now().Sub(began), "events", len(events), "err", errorText(err))
+	return events, stamp, err
+}
+
+// setWatchedSince records when the watch of a kind began that is under way, or that none is.
+func (t *tables) setWatchedSince(k Kind, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watchedSince[k] = at
+}
+
+// watchedFor returns how long the watch of a kind that is under way has waited, or 0 if none is.
+func (t *tables) watchedFor(k Kind) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at := t.watchedSince[k]; !at.IsZero() {
+		return t.now().Sub(at)
+	}
+	return 0
+}
+
 // awaitRefresh waits for the time of the next refresh and returns how the table is refreshed.
 // An instance that becomes a watcher meanwhile begins to watch at once.
 func (t *tables) awaitRefresh(ctx context.Context, k Kind) refresh {
--- a/io/node/watchers.go
+++ b/io/node/watchers.go
@@ -83,6 +83,36 @@
 	return false
 }
 
+// watchRole is the part of an instance in watching the store.
+type watchRole string
+
+const (
+	roleNone  watchRole = "none"  // learns of changes from the watchers
+	roleFar   watchRole = "far"   // a watcher that repeats its watches in long intervals
+	roleClose watchRole = "close" // a watcher that repeats its watches in short intervals
+)
+
+// watchRole returns the instance's present part in watching the store.
+func (n *Node) watchRole() watchRole {
+	switch {
+	case !n.isWatcher():
+		return roleNone
+	case len(n.snapshot.Load().instances) <= smallFleetSize || n.watchesClosely():
+		return roleClose
+	}
+	return roleFar
+}
+
+// logWatchRole logs a change of the instance's part in watching the store, and returns the
+// present one.
+func (n *Node) logWatchRole(before watchRole) watchRole {
+	role := n.watchRole()
+	if role != before {
+		n.log.Info("store: role changed", "role", role, "before", before, "storeless", n.storeless(), "watchers", n.watchers(n.self.Domain))
+	}
+	return role
+}
+
 // refreshPlan returns how the table of a kind is kept up to date. The store may drop a watch
 // without an error. In a small fleet each watcher therefore repeats a watch within half of the
 // time in which a change must be in force. In a large one, whose watchers compare their tables by
