End watches of the store that may never be answered

Cause: the wait of a watch was decided as it began. An instance that became a watcher meanwhile stayed in its watch of 15 s, and an instance whose watch had got no answer, and which was no watcher for that reason, began one of 15 s in the silence. So all instances hung.

Change: a watch ends when the instance's role allows less time than it has waited, and when the store answers again after a call without an answer. The watch after such a call does not wait.

TestChangesAfterSilentOutage failed before: at 7, 16 and 17 instances for each kind of table, at 1 and 3 for the instances' own.

--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -28,6 +28,8 @@
 	// callTimeout bounds other calls of the store and of peers. The store answers in
 	// milliseconds.
 	callTimeout = 1200 * time.Millisecond
+	// watchGrace is the time that a watch may take in addition to its wait.
+	watchGrace = callTimeout / 2
 	// storeRetryInterval is the mean time between attempts while the store does not answer.
 	storeRetryInterval = 400 * time.Millisecond
 	// replanInterval is the time after which an instance that waits to list a table checks
@@ -97,6 +99,7 @@
 	lost            map[Kind]lostObjects
 	unansweredSince map[Kind]time.Time // since when the store has not answered, by kind
 	lastAnswer      time.Time          // time of the store's newest answer
+	returnedAt      time.Time          // when the store last answered after calls without an answer
 	watchedSince    map[Kind]time.Time // when the watch under way began, by kind
 }
 
@@ -104,9 +107,15 @@
 // either watched for up to wait or, with listOnly, listed from a copy that may be old.
 type refresh struct {
 	pause, wait time.Duration
-	listOnly    bool
+	// limit bounds the wait of a watch that is under way, which may have begun when the
+	// instance could wait for longer. There is no limit if it is 0.
+	limit    time.Duration
+	listOnly bool
 }
 
+// errOverdue means that a watch was ended because its answer may never come.
+var errOverdue = errors.New("the watch was overdue")
+
 // vanished is an upstream whose entry disappeared from the registry, and when.
 type vanished struct {
 	object Object
@@ -312,6 +321,7 @@
 		t.lastAnswer = now
 		if lost {
 			delete(t.unansweredSince, k)
+			t.returnedAt = now
 			t.log.Info("store: answers again", "kind", k, "after", now.Sub(at))
 		}
 	case !lost && !errors.Is(err, context.Canceled):
@@ -336,7 +346,6 @@
 		return err
 	}
 	r := t.awaitRefresh(ctx, k)
-	before := t.get(k)
 	if r.listOnly {
 		next, err := t.readList(ctx, k, t.store.ListStale)
 		switch {
@@ -348,7 +357,15 @@
 		}
 		return err
 	}
+	if t.unanswered(k) {
+		r.wait = 0
+	}
+	before := t.get(k)
 	events, stamp, err := t.watch(ctx, k, before.Revision, r.wait)
+	if errors.Is(err, errOverdue) {
+		before = t.get(k)
+		events, stamp, err = t.watch(ctx, k, before.Revision, 0)
+	}
 	if err == nil && stamp.Era != before.Era {
 		err = ErrHistoryLost // the events follow on a revision of another era
 	}
@@ -372,18 +389,65 @@
 	return nil
 }
 
-// watch waits for changes of a kind after a revision.
+// unanswered reports whether the last call for a kind got no answer.
+func (t *tables) unanswered(k Kind) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.unansweredSince[k]
+	return ok
+}
+
+// watch waits for changes of a kind after a revision. It returns errOverdue if the watch was ended
+// early. Without a wait the store answers at once, so that a silent store is told from one without
+// changes within callTimeout.
 func (t *tables) watch(ctx context.Context, k Kind, since uint64, wait time.Duration) ([]Event, Stamp, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout/2)
+	timeout := wait + watchGrace
+	if wait == 0 {
+		timeout = callTimeout
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := t.now()
 	t.setWatchedSince(k, began)
 	defer t.setWatchedSince(k, time.Time{})
-	events, stamp, err := t.store.Watch(ctx, k, since, wait)
+	if wait > 0 {
+		go t.endOverdue(ctx, k, began, end)
+	}
+	events, stamp, err := t.store.Watch(call, k, since, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errOverdue) {
+		err = errOverdue
+	}
 	t.log.V(1).Info("store: watch ended", "kind", k, "since", since, "wait", wait, "took", t.now().Sub(began), "events", len(events), "err", errorText(err))
 	return events, stamp, err
 }
 
+// endOverdue ends a watch once it is overdue. It returns when the watch has ended.
+func (t *tables) endOverdue(ctx context.Context, k Kind, began time.Time, end context.CancelCauseFunc) {
+	for {
+		sleep(ctx, replanInterval)
+		now := t.now()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case t.isOverdue(k, began, now):
+			t.log.Info("store: watch overdue", "kind", k, "took", now.Sub(began))
+			end(errOverdue)
+			return
+		}
+	}
+}
+
+// isOverdue reports whether a watch that began at a time may never be answered: it has waited
+// for longer than the instance would wait now, or the store was silent since it began.
+func (t *tables) isOverdue(k Kind, began, now time.Time) bool {
+	limit := t.refreshPlan(k).limit
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return limit > 0 && now.Sub(began) >= limit+watchGrace || began.Before(t.returnedAt)
+}
+
 // setWatchedSince records when the watch of a kind began that is under way, or that none is.
 func (t *tables) setWatchedSince(k Kind, at time.Time) {
 	t.mu.Lock()
--- a/io/node/watchers.go
+++ b/io/node/watchers.go
@@ -122,25 +122,24 @@
 func (n *Node) refreshPlan(k Kind) refresh {
 	bound := n.changeBound(k)
 	large := len(n.snapshot.Load().instances) > smallFleetSize
-	quarter := max(bound/4, 1)
-	closely := min(quarter+rand.N(quarter), watchTimeout)
-	switch watcher := n.isWatcher(); {
-	case large && !watcher && n.storeless():
-		return refresh{pause: storelessListInterval + rand.N(storelessListInterval), listOnly: true}
-	case large && !watcher:
-		return refresh{pause: staleListInterval + rand.N(staleListInterval), listOnly: true}
+	r := refresh{wait: watchTimeout, limit: watchTimeout}
+	switch role := n.watchRole(); {
+	case large && role == roleNone && n.storeless():
+		r.pause, r.listOnly = storelessListInterval+rand.N(storelessListInterval), true
+		return r
+	case large && role == roleNone:
+		r.pause, r.listOnly = staleListInterval+rand.N(staleListInterval), true
+		return r
 	case k == KindInstance:
-		return refresh{pause: instanceBatchDelay, wait: watchTimeout}
-	case !watcher:
-		return refresh{wait: watchTimeout}
-	case !large:
-		return refresh{wait: closely}
+		r.pause = instanceBatchDelay
+		return r
+	case role == roleClose:
+		quarter := max(bound/4, 1)
+		r.wait, r.limit = min(quarter+rand.N(quarter), watchTimeout), min(bound/2, watchTimeout)
+	case role == roleFar:
+		r.wait = watchTimeout/2 + rand.N(watchTimeout/2)
 	}
-	r := refresh{wait: watchTimeout/2 + rand.N(watchTimeout/2)}
-	if n.watchesClosely() {
-		r.wait = closely
-	}
-	if k == KindUpstream {
+	if large && k == KindUpstream {
 		r.pause = registryBatchDelay
 	}
 	return r
