Repeat the watch of the groups once the store answers again

Instances learned of a group's change up to 12 s late after a silent outage of the store: a watch that had waited through the silence is never answered, and Follow gave it 10 s and 2 s more, although the polls of the configuration had shown the silence and its end.

The first poll that is answered after one without an answer ends the watch under way; the next continues from the same revision. The store of the tests gets an outage in which answers are lost.

TestGroupsWatchedAfterSilence failed before ('the change of b is not known within 3 s'). TestKeyWithdrawnAfterSilence shows that the configuration of this face comes into force in time.

--- a/io/fleet/key_test.go
+++ b/io/fleet/key_test.go
@@ -14,6 +14,7 @@
 
 	"burdockseam/core/config"
 	"burdockseam/core/key"
+	"burdockseam/io/storetest"
 )
 
 // logBuffer collects log lines and counts texts in them.
@@ -147,6 +148,32 @@
 	}
 }
 
+// TestKeyWithdrawnAfterSilence guards against a key that is accepted on after the store was silent,
+// because the calls that waited for a change are never answered.
+func TestKeyWithdrawnAfterSilence(t *testing.T) {
+	f := startFleet(t, Ensayo, Options{})
+	ctx := context.Background()
+	group := f.Deployment.Groups[0]
+	idle := connect(t, f, f.Members()[1], "equipment", group, "")
+	f.Store.SetOutage(storetest.OutageLose)
+	letLoadRun(4 * time.Second)
+	f.Store.SetOutage(storetest.OutageNone)
+	r, err := f.ConfigClient().Edit(ctx, config.ChangeInfo{Op: "withdraw", Time: time.Now()}, func(files []config.File) ([]config.File, error) {
+		return config.WithdrawKey(files, key.ID(f.Keys["equipment"]))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	waitRevision(t, f, r.Revision)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("the key is withdrawn everywhere after %v, want 5 s", took)
+	}
+	if _, err := idle.Exec(ctx, "SELECT 1"); err == nil {
+		t.Error("a statement ran with a withdrawn key")
+	}
+}
+
 // TestAccessLostDuringTransaction guards against a transaction that goes on although its caller's key
 // belongs to another team now, or the route that was open to everybody is closed.
 func TestAccessLostDuringTransaction(t *testing.T) {
--- a/io/instance/control.go
+++ b/io/instance/control.go
@@ -66,6 +66,10 @@
 	// headRevision is the revision of the store up to which the head of the configuration
 	// has been read, or 0 if it has not been read.
 	headRevision atomic.Uint64
+	// pollFailed is set if the last poll got no answer, and storeReturned receives a value at the
+	// first one after that.
+	pollFailed    atomic.Bool
+	storeReturned chan struct{}
 
 	ctx   context.Context
 	tasks sync.WaitGroup
--- a/io/instance/instance.go
+++ b/io/instance/instance.go
@@ -153,6 +153,7 @@
 		writeWaiters:   make(map[writeID]chan failover.Outcome),
 		groupChanges:   make(map[string]chan struct{}),
 		reportedStates: make(map[string]failover.Group),
+		storeReturned:  make(chan struct{}, 1),
 		node: core.New(in.now(), core.Self{
 			Address:     s.Peer,
 			Domain:      s.Domain,
--- a/io/instance/poll.go
+++ b/io/instance/poll.go
@@ -17,10 +17,23 @@
 // The core starts the next poll after the result.
 func (c *control) poll(ctx context.Context, p cluster.Poll) {
 	sent := c.now()
-	head, err := c.newHead(ctx, p)
+	head, err := c.pollHead(ctx, p)
 	c.do(func(now time.Time) core.Effects { return c.node.HandlePollResult(now, sent, p.Since, head, err) })
 }
 
+// pollHead returns a new head as newHead does. If the store answers again after a poll without an
+// answer, the watch of the groups is repeated, since it may have waited through the same silence.
+func (c *control) pollHead(ctx context.Context, p cluster.Poll) (*config.Head, error) {
+	head, err := c.newHead(ctx, p)
+	if failed := c.pollFailed.Swap(err != nil); failed && err == nil {
+		select {
+		case c.storeReturned <- struct{}{}:
+		default: // the watch will be repeated anyway
+		}
+	}
+	return head, err
+}
+
 // newHead returns a head with a revision above that of the poll, or nil if none comes in
 // time.
 func (c *control) newHead(ctx context.Context, p cluster.Poll) (*config.Head, error) {
@@ -66,7 +79,7 @@
 		if c.watchesStore() {
 			go func() {
 				defer close(done)
-				c.store.Follow(watching, groupPrefix, groupWait, c.handleGroupChanges)
+				c.store.Follow(watching, groupPrefix, groupWait, c.storeReturned, c.handleGroupChanges)
 			}()
 			for c.watchesStore() && sleep(ctx, time.Second) {
 			}
--- a/io/instance/poll_test.go
+++ b/io/instance/poll_test.go
@@ -42,3 +42,54 @@
 		since = want
 	}
 }
+
+// Guards against changes of groups that instances miss for up to 12 s, because their watch waited
+// through a silence of the store and is never answered.
+func TestGroupsWatchedAfterSilence(t *testing.T) {
+	s := storetest.New(storetest.Options{})
+	defer s.Close()
+	c := &control{store: store.New(store.Config{Addr: s.Addr(), Name: "test"}), storeReturned: make(chan struct{}, 1)}
+	defer c.store.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	updates, ended := make(chan store.Update, 100), make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.store.Follow(ctx, groupPrefix, groupWait, c.storeReturned, func(u store.Update) { updates <- u })
+	}()
+	defer func() { cancel(); <-ended }()
+	poll := func() error {
+		ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		_, err := c.pollHead(ctx, cluster.Poll{Wait: 10 * time.Millisecond})
+		return err
+	}
+	expectChange := func(key string) {
+		t.Helper()
+		s.Set(groupPrefix+key, []byte("{}"))
+		for limit := time.After(3 * time.Second); ; {
+			select {
+			case u := <-updates:
+				for _, o := range u.Objects.Objects {
+					if o.Key == groupPrefix+key {
+						return
+					}
+				}
+			case <-limit:
+				t.Fatalf("the change of %s is not known within 3 s", key)
+			}
+		}
+	}
+	expectChange("a")
+	for _, key := range []string{"b", "c"} {
+		time.Sleep(100 * time.Millisecond) // the next watch waits at the store
+		s.SetOutage(storetest.OutageLose)
+		if err := poll(); err == nil {
+			t.Fatal("the silent store has answered")
+		}
+		s.SetOutage(storetest.OutageNone)
+		if err := poll(); err != nil {
+			t.Fatal(err)
+		}
+		expectChange(key)
+	}
+}
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -32,19 +32,18 @@
 // failed request. No change is skipped: after an outage the watch continues from the last
 // received revision. If the store no longer keeps the changes since this revision, Follow
 // lists the objects again. wait is the time after which the store responds to a watch
-// request even if there is no change.
-func (c *Client) Follow(ctx context.Context, prefix string, wait time.Duration, handle func(Update)) {
+// request even if there is no change. A value from repeat ends a watch request that is under way,
+// which may never be answered; the next one continues from the same revision.
+func (c *Client) Follow(ctx context.Context, prefix string, wait time.Duration, repeat <-chan struct{}, handle func(Update)) {
 	listed := false
 	var since uint64
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		u := Update{Snapshot: !listed, SentAt: time.Now()}
 		if listed {
-			call, cancel := context.WithTimeout(ctx, wait+watchGrace)
-			u.Objects, u.Err = c.Watch(call, prefix, since, wait)
-			cancel()
-			if HistoryGone.Has(u.Err) {
-				listed = false
+			var repeated bool
+			u.Objects, repeated, u.Err = c.watchUntil(ctx, prefix, since, wait, repeat)
+			if listed = !HistoryGone.Has(u.Err); !listed || repeated {
 				continue
 			}
 		} else {
@@ -68,3 +67,23 @@
 		handle(u)
 	}
 }
+
+// watchUntil sends a watch request that a value from repeat ends. It reports whether it was ended.
+func (c *Client) watchUntil(ctx context.Context, prefix string, since uint64, wait time.Duration, repeat <-chan struct{}) (o Objects, repeated bool, err error) {
+	call, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	ended := make(chan bool)
+	go func() {
+		select {
+		case <-repeat:
+			cancel()
+			ended <- true
+		case <-call.Done():
+			ended <- false
+		}
+	}()
+	o, err = c.Watch(call, prefix, since, wait)
+	cancel()
+	repeated = <-ended && err != nil
+	return o, repeated, err
+}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -193,7 +193,7 @@
 			updates := make(chan store.Update, 1000)
 			ended := make(chan struct{})
 			go func() {
-				c.Follow(ctx, "w/", 20*time.Millisecond, func(u store.Update) { updates <- u })
+				c.Follow(ctx, "w/", 20*time.Millisecond, nil, func(u store.Update) { updates <- u })
 				close(ended)
 			}()
 			state := map[string]string{}
--- a/io/storetest/fault.go
+++ b/io/storetest/fault.go
@@ -28,6 +28,7 @@
 	OutageNone   Outage = ""       // the store works
 	OutageRefuse Outage = "refuse" // every connection is reset
 	OutageHang   Outage = "hang"   // requests get no response until the outage ends
+	OutageLose   Outage = "lose"   // requests under way or sent meanwhile never get a response
 )
 
 // faults holds the injected faults of a server.
@@ -38,6 +39,7 @@
 	serviceTime     time.Duration // see SetServiceTime
 	serving         sync.Mutex    // held by the request in progress while serviceTime is set
 	outage          Outage
+	losses          int                      // number of outages of the kind OutageLose so far
 	responsesToLose int                      // number of write responses still to lose
 	partitioned     func(client string) bool // selects the clients that cannot reach the store; nil for none
 }
@@ -59,6 +61,22 @@
 	return f.outage == OutageRefuse, f.changed
 }
 
+// lossCount returns the number of outages in which requests lose their responses, and whether
+// there is one now.
+func (f *faults) lossCount() (count int, losing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.losses, f.outage == OutageLose
+}
+
+// waitAbandoned returns when the client has given up a request or the server is closed.
+func (s *Server) waitAbandoned(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+}
+
 // loseNextResponse reports whether the response of the current write is to be lost, and
 // counts the loss.
 func (f *faults) loseNextResponse() bool {
@@ -129,7 +147,14 @@
 
 // SetOutage begins or ends an outage. It also affects requests that are already
 // waiting.
-func (s *Server) SetOutage(o Outage) { s.faults.update(func() { s.faults.outage = o }) }
+func (s *Server) SetOutage(o Outage) {
+	s.faults.update(func() {
+		s.faults.outage = o
+		if o == OutageLose {
+			s.faults.losses++
+		}
+	})
+}
 
 // SetDelay sets the duration of a request: half of it passes before the request takes
 // effect and half after. The request takes effect even if the client has given up
--- a/io/storetest/server.go
+++ b/io/storetest/server.go
@@ -97,6 +97,11 @@
 		http.Error(w, "no such call", http.StatusBadRequest)
 		return
 	}
+	losses, losing := s.faults.lossCount()
+	if losing {
+		s.waitAbandoned(r)
+		return
+	}
 	if !s.waitUnblocked(r, client) {
 		resetConnection(w)
 		return
@@ -110,6 +115,10 @@
 		resetConnection(w)
 		return
 	}
+	if now, _ := s.faults.lossCount(); now != losses {
+		s.waitAbandoned(r)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(a.code)
 	json.NewEncoder(w).Encode(a.body)
