Watches in a file of their own; overdue ones are counted apart

The code of watches moves from tables.go to watches.go. burdockseam_store_calls_total gets the outcome overdue, which was counted as failed.

--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -117,6 +117,8 @@
 	switch {
 	case errors.Is(err, ErrConflict), errors.Is(err, ErrMissing), errors.Is(err, ErrHistoryLost):
 		outcome = "refused"
+	case errors.Is(err, errOverdue):
+		outcome = "overdue"
 	case err != nil:
 		outcome = "failed"
 	}
@@ -140,6 +142,9 @@
 // Watch implements Store.
 func (c countingStore) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Event, Stamp, error) {
 	events, stamp, err := c.Store.Watch(ctx, kind, since, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errOverdue) {
+		err = errOverdue
+	}
 	c.countCall("watch", kind, err)
 	return events, stamp, err
 }
--- a/io/node/tables.go
+++ b/io/node/tables.go
@@ -28,8 +28,6 @@
 	// callTimeout bounds other calls of the store and of peers. The store answers in
 	// milliseconds.
 	callTimeout = 1200 * time.Millisecond
-	// watchGrace is the time that a watch may take in addition to its wait.
-	watchGrace = callTimeout / 2
 	// storeRetryInterval is the mean time between attempts while the store does not answer.
 	storeRetryInterval = 400 * time.Millisecond
 	// replanInterval is the time after which an instance that waits to list a table checks
@@ -113,9 +111,6 @@
 	listOnly bool
 }
 
-// errOverdue means that a watch was ended because its answer may never come.
-var errOverdue = errors.New("the watch was overdue")
-
 // vanished is an upstream whose entry disappeared from the registry, and when.
 type vanished struct {
 	object Object
@@ -389,82 +384,6 @@
 	return nil
 }
 
-// unanswered reports whether the last call for a kind got no answer.
-func (t *tables) unanswered(k Kind) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.unansweredSince[k]
-	return ok
-}
-
-// watch waits for changes of a kind after a revision. It returns errOverdue if the watch was ended
-// early. Without a wait the store answers at once, so that a silent store is told from one without
-// changes within callTimeout.
-func (t *tables) watch(ctx context.Context, k Kind, since uint64, wait time.Duration) ([]Event, Stamp, error) {
-	timeout := wait + watchGrace
-	if wait == 0 {
-		timeout = callTimeout
-	}
-	ctx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	call, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	began := t.now()
-	t.setWatchedSince(k, began)
-	defer t.setWatchedSince(k, time.Time{})
-	if wait > 0 {
-		go t.endOverdue(ctx, k, began, end)
-	}
-	events, stamp, err := t.store.Watch(call, k, since, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errOverdue) {
-		err = errOverdue
-	}
-	t.log.V(1).Info("store: watch ended", "kind", k, "since", since, "wait", wait, "took", t.now().Sub(began), "events", len(events), "err", errorText(err))
-	return events, stamp, err
-}
-
-// endOverdue ends a watch once it is overdue. It returns when the watch has ended.
-func (t *tables) endOverdue(ctx context.Context, k Kind, began time.Time, end context.CancelCauseFunc) {
-	for {
-		sleep(ctx, replanInterval)
-		now := t.now()
-		switch {
-		case ctx.Err() != nil:
-			return
-		case t.isOverdue(k, began, now):
-			t.log.Info("store: watch overdue", "kind", k, "took", now.Sub(began))
-			end(errOverdue)
-			return
-		}
-	}
-}
-
-// isOverdue reports whether a watch that began at a time may never be answered: it has waited
-// for longer than the instance would wait now, or the store was silent since it began.
-func (t *tables) isOverdue(k Kind, began, now time.Time) bool {
-	limit := t.refreshPlan(k).limit
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return limit > 0 && now.Sub(began) >= limit+watchGrace || began.Before(t.returnedAt)
-}
-
-// setWatchedSince records when the watch of a kind began that is under way, or that none is.
-func (t *tables) setWatchedSince(k Kind, at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.watchedSince[k] = at
-}
-
-// watchedFor returns how long the watch of a kind that is under way has waited, or 0 if none is.
-func (t *tables) watchedFor(k Kind) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if at := t.watchedSince[k]; !at.IsZero() {
-		return t.now().Sub(at)
-	}
-	return 0
-}
-
 // awaitRefresh waits for the time of the next refresh and returns how the table is refreshed.
 // An instance that becomes a watcher meanwhile begins to watch at once.
 func (t *tables) awaitRefresh(ctx context.Context, k Kind) refresh {
